Record what unfinished items of jobs have produced, and go on after it

An item at a target that went silent was never given up. Ruled out: rewriting the job's row for it, which would wake every reader of the table of jobs. Change: each 1.5 s one commit, conditional on the version of the job's row, holds the output of its running items; a planned stop hands the job over with it. A new owner resumes after the recorded event and keeps the count of failures. Items ask with the time by which they must begin to end in time (ItemPace). A silent target is given up after 2.5 s. Tests: GatewaySessionTest.goesOnWithAnItemWhoseOwnerIsGone (planned stop and loss), ItemPaceTest.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
@@ -82,7 +82,10 @@
     PEER_FAILED(2225, Level.DEBUG, "a message to a peer failed"),
 
     /** An exchange with a caller met a defect. */
-    CALLER_DEFECT(2226, Level.WARNING, "an exchange with a caller met a defect");
+    CALLER_DEFECT(2226, Level.WARNING, "an exchange with a caller met a defect"),
+
+    /** A job was given up by an instance that leaves. */
+    JOB_HANDED_OVER(2227, Level.INFO, "a job was handed over");
 
     /** What the catalogue says. */
     private final Entry entry;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -1,11 +1,13 @@
 package org.tanagermoor.gateway.job;
 
+import com.google.protobuf.ByteString;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -21,6 +23,7 @@
 import org.tanagermoor.gateway.forward.TargetHead;
 import org.tanagermoor.gateway.forward.TargetListener;
 import org.tanagermoor.gateway.proto.ItemHeader;
+import org.tanagermoor.gateway.proto.ItemProgress;
 import org.tanagermoor.gateway.proto.JobItem;
 import org.tanagermoor.kernel.failure.Execution;
 import org.tanagermoor.kernel.failure.Failure;
@@ -46,6 +49,9 @@
     /** The longest useful wait for a place in nanoseconds; the item asks again afterwards. */
     private static final long WAIT_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+    /** The silence after which a target counts as lost, in nanoseconds: many pauses between events of a slow one. */
+    private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
     /** What jobs need. */
     private final JobContext context;
 
@@ -67,6 +73,12 @@
     /** The number of the last event that has come. */
     private long lastEvent;
 
+    /** The number of the last event that is recorded. */
+    private long recordedEvent;
+
+    /** The failures that are recorded. */
+    private int recordedFailures;
+
     /** The answers that say that a target failed. */
     private int failures;
 
@@ -86,11 +98,25 @@
     /** The status of the present answer. */
     private int status;
 
-    /** Creates a run of an item. */
-    ItemRun(JobContext context, JobRun job, JobItem item) {
+    /** The monotonic time in nanoseconds at which something last came from the target. */
+    private long heardAt;
+
+    /** The monotonic time in nanoseconds at which the present run began. */
+    private long begunAt;
+
+    /** The number of the event after which the present run began. */
+    private long begunAfter;
+
+    /** Creates a run of an item, which goes on after what an earlier owner has recorded. */
+    ItemRun(JobContext context, JobRun job, JobItem item, ItemProgress recorded) {
         this.context = context;
         this.job = job;
         this.item = item;
+        output.append(recorded.getOutput().toStringUtf8());
+        lastEvent = recorded.getLastEvent();
+        failures = recorded.getFailures();
+        recordedEvent = lastEvent;
+        recordedFailures = failures;
     }
 
     /** Returns the item. */
@@ -108,7 +134,47 @@
         return state == State.ASKING;
     }
 
-    /** Asks for a place. */
+    /** Returns whether the run has produced more than what is recorded. */
+    boolean unrecorded() {
+        return state != State.DONE && (lastEvent != recordedEvent || failures != recordedFailures);
+    }
+
+    /** Returns what the run has produced, if that is more than what is recorded and fits into a row. */
+    Optional<ItemProgress> progress() {
+        if (!unrecorded()) {
+            return Optional.empty();
+        }
+        return Optional.of(ItemProgress.newBuilder()
+                        .setItem(item.getId())
+                        .setLastEvent(lastEvent)
+                        .setOutput(ByteString.copyFromUtf8(output.toString()))
+                        .setFailures(failures)
+                        .build())
+                .filter(JobStore::fits);
+    }
+
+    /** Notes what is recorded of the run. */
+    void recorded(ItemProgress progress) {
+        recordedEvent = Math.max(recordedEvent, progress.getLastEvent());
+        recordedFailures = Math.max(recordedFailures, progress.getFailures());
+    }
+
+    /** Ends a run at a target that has gone silent, and lets the item go on elsewhere. */
+    void watch(long now) {
+        if (state == State.RUNNING && now - heardAt > SILENCE_NANOS) {
+            note("nothing came for " + TimeUnit.NANOSECONDS.toMillis(now - heardAt) + " ms");
+            excluded.add(targetId());
+            stopExchange();
+            again(PlaceOutcome.FAILED, RETRY_MILLIS);
+        }
+    }
+
+    /**
+     * Asks for a place.
+     *
+     * @param route The route of the job.
+     * @param dueNanos The time until the job is due, in nanoseconds.
+     */
     void ask(Route route, long dueNanos) {
         state = State.ASKING;
         permit = context.dispatch().nextPermit();
@@ -124,7 +190,7 @@
                                 context.domain(),
                                 0,
                                 WAIT_NANOS,
-                                dueNanos,
+                                dueNanos - context.pace().nanosLeft(lastEvent),
                                 true,
                                 false,
                                 Set.copyOf(excluded)),
@@ -138,6 +204,15 @@
         returnPermit(PlaceOutcome.UNUSED);
     }
 
+    /** Ends the present run and begins no other; what has come is kept. */
+    void suspend() {
+        if (state != State.DONE) {
+            state = State.SUSPENDED;
+            stopExchange();
+            returnPermit(PlaceOutcome.UNUSED);
+        }
+    }
+
     /** Gives the place up for an online request, and keeps what has come. */
     void recall() {
         if (state == State.RUNNING) {
@@ -181,6 +256,9 @@
             return;
         }
         state = State.RUNNING;
+        begunAt = context.time().nanos();
+        begunAfter = lastEvent;
+        heardAt = begunAt;
         target = entry;
         frames = EventFrames.of();
         status = 0;
@@ -219,6 +297,7 @@
     /** {@inheritDoc} */
     @Override
     public void head(TargetHead head, HttpResponse response) {
+        heardAt = context.time().nanos();
         status = head.status();
         if (head.notRun() || head.otherTarget()) {
             note("the target did not run the item: " + status);
@@ -243,6 +322,7 @@
     /** {@inheritDoc} */
     @Override
     public void body(ByteBuf content) {
+        heardAt = context.time().nanos();
         if (state != State.RUNNING || status != OK_STATUS) {
             return;
         }
@@ -271,6 +351,9 @@
             again(PlaceOutcome.FAILED, RETRY_MILLIS);
             return;
         }
+        if (begunAfter == 0) {
+            context.pace().ended(lastEvent, context.time().nanos() - begunAt);
+        }
         finish(new JobResult(item.getId(), true, output.toString()), PlaceOutcome.SERVED);
     }
 
@@ -380,6 +463,9 @@
         /** It waits after a failure. */
         PAUSED,
 
+        /** It waits to be handed over. */
+        SUSPENDED,
+
         /** It has a result, or is no longer wanted. */
         DONE
     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobContext.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobContext.java
@@ -22,6 +22,7 @@
  * @param time The source of the present time.
  * @param domain The failure domain of this instance.
  * @param runs The items that ask for a place or have one, by permit.
+ * @param pace How long items run.
  */
 public record JobContext(
         EventLoop loop,
@@ -33,4 +34,5 @@
         GatewayMetrics metrics,
         TimeSource time,
         String domain,
-        Map<Long, ItemRun> runs) {}
+        Map<Long, ItemRun> runs,
+        ItemPace pace) {}
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
@@ -12,10 +12,12 @@
 import org.tanagermoor.gateway.fleet.FleetConfiguration;
 import org.tanagermoor.gateway.fleet.Route;
 import org.tanagermoor.gateway.fleet.RouteKind;
+import org.tanagermoor.gateway.proto.ItemProgress;
 import org.tanagermoor.gateway.proto.JobContent;
 import org.tanagermoor.gateway.proto.JobItem;
 import org.tanagermoor.gateway.proto.JobRow;
 import org.tanagermoor.kernel.failure.Failure;
+import reactor.core.publisher.Mono;
 
 /** A job that this instance owns: its items run here, and their results are recorded. Confined to the event loop. */
 final class JobRun {
@@ -30,7 +32,10 @@
     private static final int COMMIT_MOST = 16;
 
     /** The most bytes of the outputs of one commit: commits hold 1 MB, and rows grow by a third on the way. */
-    private static final int COMMIT_BYTES = 600_000;
+    private static final int COMMIT_BYTES = 400_000;
+
+    /** The most bytes of the progress in one commit. */
+    private static final int PROGRESS_BYTES = 200_000;
 
     /** The most results that wait to be recorded before no more items are started. */
     private static final int UNRECORDED_MOST = 48;
@@ -38,6 +43,15 @@
     /** The most items of a job that wait for a place at once. */
     private static final int ASKING_MOST = 4;
 
+    /**
+     * The time between two commits of what unfinished items have produced, in milliseconds: a lost owner costs this
+     * much of each run, and a job a fraction of the commits of one partition.
+     */
+    private static final long PROGRESS_MILLIS = 1_500;
+
+    /** The most items whose progress one commit holds: commits hold 100 rows. */
+    private static final int PROGRESS_MOST = 40;
+
     /** What jobs need. */
     private final JobContext context;
 
@@ -68,11 +82,18 @@
     /** Whether this instance no longer runs the job. */
     private boolean stopped;
 
+    /** Whether the job is being handed over. */
+    private boolean handingOver;
+
+    /** The monotonic time in nanoseconds of the last commit of progress. */
+    private long progressAt;
+
     /** Creates a run. */
     JobRun(JobContext context, JobRecord job, Consumer<JobRecord> changed) {
         this.context = context;
         this.job = job;
         this.changed = changed;
+        progressAt = context.time().nanos();
     }
 
     /** Returns the identity of the job. */
@@ -97,7 +118,7 @@
 
     /** Starts with items that are known. */
     void start(JobContent content) {
-        load(content, List.of());
+        load(content, List.of(), Map.of());
     }
 
     /** Starts a job that was taken over: reads its items and its results. */
@@ -105,29 +126,34 @@
         if (stopped) {
             return;
         }
-        context.store()
-                .content(id())
-                .zipWith(context.store().results(id(), 0))
-                .subscribe(read -> context.loop().execute(() -> {
-                    Either<Failure, JobContent> content = read.getT1();
-                    Either<Failure, List<JobResult>> results = read.getT2();
-                    if (content.isLeft()
-                            || results.isLeft()
-                            || results.get().size() < job.row().getRecorded()) {
-                        context.events()
-                                .record(
-                                        GatewayEvent.JOB_WRITE_FAILED,
-                                        "job",
-                                        id(),
-                                        "step",
-                                        "resume",
-                                        "failure",
-                                        content.isLeft() ? content.getLeft() : results);
-                        context.loop().schedule(this::resume, RETRY_MILLIS, TimeUnit.MILLISECONDS);
-                    } else {
-                        load(content.get(), results.get());
-                    }
-                }));
+        Mono.zip(
+                        context.store().content(id()),
+                        context.store().results(id(), 0),
+                        context.store().progress(id()))
+                .subscribe(read -> context.loop().execute(() -> resumed(read.getT1(), read.getT2(), read.getT3())));
+    }
+
+    /** Takes what was read of a job that was taken over, or reads it again after a failure. */
+    private void resumed(
+            Either<Failure, JobContent> content,
+            Either<Failure, List<JobResult>> results,
+            Either<Failure, Map<String, ItemProgress>> progress) {
+        boolean behind = results.isRight() && results.get().size() < job.row().getRecorded();
+        Object failure = content.isLeft() ? content.getLeft() : results.isLeft() ? results.getLeft() : progress;
+        if (content.isLeft() || results.isLeft() || progress.isLeft() || behind) {
+            context.events()
+                    .record(
+                            GatewayEvent.JOB_WRITE_FAILED,
+                            "job",
+                            id(),
+                            "step",
+                            "resume",
+                            "failure",
+                            behind ? "the results that were read are older than the job" : failure);
+            context.loop().schedule(this::resume, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            load(content.get(), results.get(), progress.get());
+        }
     }
 
     /** Takes in what another writer has recorded. */
@@ -153,17 +179,38 @@
         leaving = true;
     }
 
-    /** Gives the job up, so that another instance takes it over at once. */
+    /**
+     * Gives the job up, so that another instance takes it over at once. What its items have produced is recorded with
+     * it; their runs end.
+     */
     void handOver() {
-        stop();
-        context.store()
-                .write(job, List.of(), job.row().toBuilder().setOwner("").build())
-                .subscribe();
+        if (stopped || handingOver) {
+            return;
+        }
+        handingOver = true;
+        items.values().forEach(ItemRun::suspend);
+        if (!writing) {
+            writing = true;
+            write();
+        }
+    }
+
+    /** Ends the runs of items at targets that have gone silent, and records progress that is due. */
+    void watch(long now) {
+        if (stopped || handingOver) {
+            return;
+        }
+        List.copyOf(items.values()).forEach(item -> item.watch(now));
+        boolean due = now - progressAt >= TimeUnit.MILLISECONDS.toNanos(PROGRESS_MILLIS);
+        if (due && loaded && !writing && items.values().stream().anyMatch(ItemRun::unrecorded)) {
+            writing = true;
+            write();
+        }
     }
 
     /** Starts items for which there may be a place. */
     void proceed() {
-        if (stopped || !loaded || leaving) {
+        if (stopped || !loaded || leaving || handingOver) {
             return;
         }
         Optional<Route> route = route();
@@ -200,14 +247,15 @@
     }
 
     /** Takes over the items of the job. */
-    private void load(JobContent content, List<JobResult> results) {
+    private void load(JobContent content, List<JobResult> results, Map<String, ItemProgress> progress) {
         if (stopped) {
             return;
         }
         for (JobItem item : content.getItemsList()) {
             tokens.put(item.getId(), item.getTokens());
             if (results.stream().noneMatch(result -> result.item().equals(item.getId()))) {
-                items.put(item.getId(), new ItemRun(context, this, item));
+                ItemProgress recorded = progress.getOrDefault(item.getId(), ItemProgress.getDefaultInstance());
+                items.put(item.getId(), new ItemRun(context, this, item, recorded));
             }
         }
         loaded = true;
@@ -222,12 +270,14 @@
         }
     }
 
-    /** Writes results that wait. */
+    /** Writes results that wait and the progress of the other items. */
     private void write() {
-        if (stopped || unrecorded.isEmpty()) {
+        List<ItemProgress> progress = stopped ? List.of() : progress();
+        if (stopped || (unrecorded.isEmpty() && progress.isEmpty() && !handingOver)) {
             writing = false;
             return;
         }
+        progressAt = context.time().nanos();
         List<JobResult> results = new ArrayList<>();
         int bytes = 0;
         for (JobResult result : unrecorded) {
@@ -242,17 +292,36 @@
                 - results.stream()
                         .mapToLong(result -> tokens.getOrDefault(result.item(), 0L))
                         .sum();
+        boolean last = handingOver && results.size() == unrecorded.size();
         JobRow after = job.row().toBuilder()
                 .setRecorded(job.row().getRecorded() + results.size())
                 .setTokensWaiting(Math.max(0, waiting))
+                .setOwner(last ? "" : job.row().getOwner())
                 .build();
         context.store()
-                .write(job, results, after)
-                .subscribe(written -> context.loop().execute(() -> written(results, after, written)));
+                .write(job, results, progress, after)
+                .subscribe(written -> context.loop().execute(() -> written(results, progress, after, written)));
+    }
+
+    /** Returns the progress of items that is not recorded, as much as one commit holds beside results. */
+    private List<ItemProgress> progress() {
+        List<ItemProgress> progress = new ArrayList<>();
+        int bytes = 0;
+        for (ItemRun item : items.values()) {
+            ItemProgress next = item.progress().orElse(null);
+            if (next != null
+                    && progress.size() < PROGRESS_MOST
+                    && bytes + next.getOutput().size() <= PROGRESS_BYTES) {
+                progress.add(next);
+                bytes += next.getOutput().size();
+            }
+        }
+        return progress;
     }
 
     /** Takes the outcome of a write. */
-    private void written(List<JobResult> results, JobRow after, Either<Failure, JobRecord> outcome) {
+    private void written(
+            List<JobResult> results, List<ItemProgress> progress, JobRow after, Either<Failure, JobRecord> outcome) {
         writing = false;
         if (stopped) {
             return;
@@ -270,20 +339,28 @@
         }
         job = record;
         unrecorded.removeAll(results);
-        context.metrics().resultsRecorded(results.size());
-        context.events()
-                .record(
-                        GatewayEvent.RESULTS_RECORDED,
-                        "job",
-                        id(),
-                        "recorded",
-                        after.getRecorded(),
-                        "total",
-                        after.getTotal(),
-                        "version",
-                        record.version());
-        changed.accept(record);
-        if (!record.open()) {
+        progress.forEach(this::recorded);
+        if (!results.isEmpty()) {
+            context.metrics().resultsRecorded(results.size());
+            context.events()
+                    .record(
+                            GatewayEvent.RESULTS_RECORDED,
+                            "job",
+                            id(),
+                            "recorded",
+                            after.getRecorded(),
+                            "total",
+                            after.getTotal(),
+                            "version",
+                            record.version());
+            changed.accept(record);
+        }
+        if (after.getOwner().isEmpty()) {
+            context.events().record(GatewayEvent.JOB_HANDED_OVER, "job", id(), "version", record.version());
+            stop();
+        } else if (handingOver) {
+            scheduleWrite(0);
+        } else if (!record.open()) {
             context.events().record(GatewayEvent.JOB_ENDED, "job", id(), "recorded", after.getRecorded());
             stopped = true;
         } else if (!unrecorded.isEmpty()) {
@@ -292,6 +369,14 @@
         proceed();
     }
 
+    /** Notes what is recorded of an item. */
+    private void recorded(ItemProgress progress) {
+        ItemRun item = items.get(progress.getItem());
+        if (item != null) {
+            item.recorded(progress);
+        }
+    }
+
     /** Takes over what another writer, or an earlier write of this instance, has recorded. */
     private void adopt(JobRecord record) {
         boolean own = record.row().getOwner().equals(context.dispatch().self());
@@ -314,7 +399,7 @@
         } else if (advanced) {
             writing = true;
             context.store().results(id(), 0).subscribe(read -> context.loop().execute(() -> dropRecorded(read)));
-        } else if (!unrecorded.isEmpty()) {
+        } else if (!unrecorded.isEmpty() || handingOver) {
             scheduleWrite(0);
         }
     }
@@ -340,7 +425,7 @@
                 item.stop();
             }
         }
-        if (!unrecorded.isEmpty()) {
+        if (!unrecorded.isEmpty() || handingOver) {
             scheduleWrite(0);
         }
     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobStore.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobStore.java
@@ -4,10 +4,13 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.apache.commons.codec.digest.MurmurHash3;
 import org.jspecify.annotations.Nullable;
+import org.tanagermoor.gateway.proto.ItemProgress;
 import org.tanagermoor.gateway.proto.JobContent;
 import org.tanagermoor.gateway.proto.JobRow;
 import org.tanagermoor.gateway.proto.ResultPart;
@@ -29,6 +32,9 @@
     /** The table of results. */
     private static final String RESULTS = "results";
 
+    /** The table of what unfinished items have produced. */
+    private static final String PROGRESS = "progress";
+
     /** The partitions of each table; each takes a share of the commits. */
     private static final int PARTITIONS = 8;
 
@@ -79,9 +85,27 @@
      * @return The job as it is recorded afterwards, the given row or what another writer has written, or a failure.
      */
     public Mono<Either<Failure, JobRecord>> write(JobRecord before, List<JobResult> results, JobRow after) {
+        return write(before, results, List.of(), after);
+    }
+
+    /**
+     * Records results, what unfinished items have produced, and the new state of a job in one commit. The row of the
+     * job is not written where it does not change, so that its readers are not woken.
+     *
+     * @param before The job as it is known.
+     * @param results The results from position {@code before.row().getRecorded()} on.
+     * @param progress What unfinished items have produced.
+     * @param after The new row.
+     * @return The job as it is recorded afterwards, the given row or what another writer has written, or a failure.
+     */
+    public Mono<Either<Failure, JobRecord>> write(
+            JobRecord before, List<JobResult> results, List<ItemProgress> progress, JobRow after) {
         RowKey key = jobKey(after.getId());
-        Transaction transaction =
-                Transaction.EMPTY.withCondition(key, before.version()).withPut(key, after.toByteArray());
+        boolean changed = before.version() == Transaction.ABSENT || !after.equals(before.row());
+        Transaction transaction = Transaction.EMPTY.withCondition(key, before.version());
+        if (changed) {
+            transaction = transaction.withPut(key, after.toByteArray());
+        }
         int position = before.row().getRecorded();
         for (JobResult result : results) {
             List<byte[]> parts = parts(result);
@@ -90,10 +114,15 @@
             }
             position++;
         }
+        for (ItemProgress item : progress) {
+            transaction = transaction.withPut(progressKey(after.getId(), item.getItem()), item.toByteArray());
+        }
+        long unchanged = before.version();
         return tables.commit(transaction)
                 .map(result -> result.flatMap(committed -> switch (committed) {
                     case CommitResult.Committed done ->
-                        Either.right(new JobRecord(after, done.versions().getOrDefault(key, 0L)));
+                        Either.right(
+                                new JobRecord(after, changed ? done.versions().getOrDefault(key, 0L) : unchanged));
                     case CommitResult.Conflict conflict ->
                         conflict.found().stream()
                                 .filter(row -> row.key().equals(key))
@@ -140,6 +169,22 @@
                 .map(result -> result.flatMap(JobStore::join));
     }
 
+    /**
+     * Reads what the unfinished items of a job have produced. Rows of items that have a result may be among them.
+     *
+     * @param job The identity of the job.
+     * @return The progress by item, or a failure.
+     */
+    public Mono<Either<Failure, Map<String, ItemProgress>>> progress(String job) {
+        return tables.scan(table(PROGRESS, job), job + "/", "", READ_MOST)
+                .map(result -> result.flatMap(JobStore::progress));
+    }
+
+    /** Returns whether what an item has produced fits into one row. */
+    static boolean fits(ItemProgress progress) {
+        return progress.getOutput().size() <= PART_BYTES;
+    }
+
     /**
      * Reads the row of a job.
      *
@@ -155,6 +200,20 @@
         }
     }
 
+    /** Reads rows of progress. */
+    private static Either<Failure, Map<String, ItemProgress>> progress(List<Row> rows) {
+        Map<String, ItemProgress> result = new HashMap<>();
+        try {
+            for (Row row : rows) {
+                ItemProgress progress = ItemProgress.parseFrom(row.value());
+                result.put(progress.getItem(), progress);
+            }
+        } catch (InvalidProtocolBufferException exception) {
+            return Either.left(failure("job.progress", String.valueOf(exception.getMessage())));
+        }
+        return Either.right(result);
+    }
+
     /** Joins the rows of results. The last result is left out if the read may have ended within it. */
     private static Either<Failure, List<JobResult>> join(List<Row> rows) {
         List<JobResult> results = new ArrayList<>();
@@ -218,6 +277,11 @@
         return RowKey.of(table(RESULTS, job), job + "/" + position(position) + "/" + String.format("%03d", part));
     }
 
+    /** Returns the key of what an unfinished item has produced. */
+    private static RowKey progressKey(String job, String item) {
+        return RowKey.of(table(PROGRESS, job), job + "/" + item);
+    }
+
     /** Returns a position as a text that sorts like the number. */
     private static String position(int position) {
         return String.format("%06d", position);
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
@@ -110,6 +110,8 @@
      * @param now The present monotonic time in nanoseconds.
      */
     public void tick(long now) {
+        runs.values().removeIf(JobRun::stopped);
+        List.copyOf(runs.values()).forEach(run -> run.watch(now));
         if (liveness.stopping()) {
             return;
         }
@@ -120,7 +122,6 @@
             }
         }
         List.copyOf(runs.values()).forEach(JobRun::proceed);
-        runs.values().removeIf(JobRun::stopped);
     }
 
     /** Begins no more items. */
@@ -131,7 +132,6 @@
     /** Gives all own jobs to the others. */
     public void handOver() {
         runs.values().forEach(JobRun::handOver);
-        runs.clear();
     }
 
     /** Takes a job in. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
@@ -111,6 +111,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tanagermoor_gateway_ResultPart_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagermoor_gateway_ItemProgress_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagermoor_gateway_ItemProgress_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -120,54 +125,57 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\rgateway.proto\022\023tanagermoor.gateway\"\223\001\n" +
+      "\n\rgateway.proto\022\023tanagermoor.gateway\"\306\001\n" +
       "\nMemberSign\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation" +
       "\030\002 \001(\006\022\024\n\014peer_address\030\003 \001(\t\022\026\n\016caller_a" +
       "ddress\030\004 \001(\t\022\016\n\006domain\030\005 \001(\t\022\022\n\nage_mill" +
-      "is\030\006 \001(\r\022\020\n\010stopping\030\007 \001(\010\",\n\tTableMark\022" +
-      "\r\n\005table\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"i\n\005Sign" +
-      "s\0220\n\007members\030\001 \003(\0132\037.tanagermoor.gateway" +
-      ".MemberSign\022.\n\006tables\030\002 \003(\0132\036.tanagermoo" +
-      "r.gateway.TableMark\",\n\tTablePull\022\r\n\005tabl" +
-      "e\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"7\n\010TableRow\022\013\n" +
-      "\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\r\n\005value\030\003 \001" +
-      "(\014\"Y\n\tTableCopy\022\r\n\005table\030\001 \001(\t\022\020\n\010revisi" +
-      "on\030\002 \001(\004\022+\n\004rows\030\003 \003(\0132\035.tanagermoor.gat" +
-      "eway.TableRow\"\254\001\n\nPermitCall\022+\n\003ask\030\001 \001(" +
-      "\0132\036.tanagermoor.gateway.PermitAsk\0222\n\007ret" +
-      "urns\030\002 \003(\0132!.tanagermoor.gateway.PermitR" +
-      "eturn\022\016\n\006resync\030\003 \001(\010\022-\n\004held\030\004 \003(\0132\037.ta" +
-      "nagermoor.gateway.HeldPermit\"\277\001\n\tPermitA" +
-      "sk\022\016\n\006permit\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\014\n\004t" +
-      "eam\030\003 \001(\t\022\016\n\006domain\030\004 \001(\t\022\022\n\nprompt_key\030" +
-      "\005 \001(\006\022\023\n\013wait_millis\030\006 \001(\r\022\026\n\016on_time_mi" +
-      "llis\030\007 \001(\r\022\r\n\005batch\030\010 \001(\010\022\020\n\010excluded\030\t " +
-      "\003(\t\022\021\n\treturning\030\n \001(\010\"\244\001\n\014PermitReturn\022" +
-      "\016\n\006permit\030\001 \001(\004\022:\n\007outcome\030\002 \001(\0162).tanag" +
-      "ermoor.gateway.PermitReturn.Outcome\"H\n\007O" +
-      "utcome\022\n\n\006UNUSED\020\000\022\n\n\006SERVED\020\001\022\017\n\013UNREAC" +
-      "HABLE\020\002\022\010\n\004FULL\020\003\022\n\n\006FAILED\020\004\"L\n\nHeldPer" +
-      "mit\022\016\n\006permit\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\016\n\006" +
-      "target\030\003 \001(\t\022\r\n\005batch\030\004 \001(\010\"\314\001\n\014PermitAn" +
-      "swer\0224\n\004kind\030\001 \001(\0162&.tanagermoor.gateway" +
-      ".PermitAnswer.Kind\022\016\n\006target\030\002 \001(\t\022\032\n\022re" +
-      "try_after_millis\030\003 \001(\r\"Z\n\004Kind\022\010\n\004NONE\020\000" +
-      "\022\013\n\007GRANTED\020\001\022\020\n\014RATE_LIMITED\020\002\022\016\n\nOVERL" +
-      "OADED\020\003\022\r\n\tNO_TARGET\020\004\022\n\n\006RESYNC\020\005\"\037\n\014Pe" +
-      "rmitRecall\022\017\n\007permits\030\001 \003(\004\")\n\nItemHeade" +
-      "r\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"s\n\007JobIte" +
-      "m\022\n\n\002id\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\0220\n\007headers\030\003" +
-      " \003(\0132\037.tanagermoor.gateway.ItemHeader\022\014\n" +
-      "\004body\030\004 \001(\014\022\016\n\006tokens\030\005 \001(\004\"9\n\nJobConten" +
-      "t\022+\n\005items\030\001 \003(\0132\034.tanagermoor.gateway.J" +
-      "obItem\"\256\001\n\006JobRow\022\n\n\002id\030\001 \001(\t\022\014\n\004team\030\002 " +
-      "\001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022\027\n\017accep" +
-      "ted_millis\030\005 \001(\004\022\r\n\005total\030\006 \001(\r\022\020\n\010recor" +
-      "ded\030\007 \001(\r\022\r\n\005ended\030\010 \001(\010\022\026\n\016tokens_waiti" +
-      "ng\030\t \001(\004\022\r\n\005owner\030\n \001(\t\"=\n\nResultPart\022\014\n" +
-      "\004item\030\001 \001(\t\022\021\n\tcompleted\030\002 \001(\010\022\016\n\006output" +
-      "\030\003 \001(\014B!\n\035org.tanagermoor.gateway.protoP" +
-      "\001b\006proto3"
+      "is\030\006 \001(\r\022\020\n\010stopping\030\007 \001(\010\022\026\n\016started_mi" +
+      "llis\030\010 \001(\004\022\031\n\021processor_percent\030\t \001(\r\",\n" +
+      "\tTableMark\022\r\n\005table\030\001 \001(\t\022\020\n\010revision\030\002 " +
+      "\001(\004\"i\n\005Signs\0220\n\007members\030\001 \003(\0132\037.tanagerm" +
+      "oor.gateway.MemberSign\022.\n\006tables\030\002 \003(\0132\036" +
+      ".tanagermoor.gateway.TableMark\",\n\tTableP" +
+      "ull\022\r\n\005table\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"7\n\010" +
+      "TableRow\022\013\n\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\r" +
+      "\n\005value\030\003 \001(\014\"Y\n\tTableCopy\022\r\n\005table\030\001 \001(" +
+      "\t\022\020\n\010revision\030\002 \001(\004\022+\n\004rows\030\003 \003(\0132\035.tana" +
+      "germoor.gateway.TableRow\"\254\001\n\nPermitCall\022" +
+      "+\n\003ask\030\001 \001(\0132\036.tanagermoor.gateway.Permi" +
+      "tAsk\0222\n\007returns\030\002 \003(\0132!.tanagermoor.gate" +
+      "way.PermitReturn\022\016\n\006resync\030\003 \001(\010\022-\n\004held" +
+      "\030\004 \003(\0132\037.tanagermoor.gateway.HeldPermit\"" +
+      "\277\001\n\tPermitAsk\022\016\n\006permit\030\001 \001(\004\022\017\n\007service" +
+      "\030\002 \001(\t\022\014\n\004team\030\003 \001(\t\022\016\n\006domain\030\004 \001(\t\022\022\n\n" +
+      "prompt_key\030\005 \001(\006\022\023\n\013wait_millis\030\006 \001(\r\022\026\n" +
+      "\016on_time_millis\030\007 \001(\r\022\r\n\005batch\030\010 \001(\010\022\020\n\010" +
+      "excluded\030\t \003(\t\022\021\n\treturning\030\n \001(\010\"\244\001\n\014Pe" +
+      "rmitReturn\022\016\n\006permit\030\001 \001(\004\022:\n\007outcome\030\002 " +
+      "\001(\0162).tanagermoor.gateway.PermitReturn.O" +
+      "utcome\"H\n\007Outcome\022\n\n\006UNUSED\020\000\022\n\n\006SERVED\020" +
+      "\001\022\017\n\013UNREACHABLE\020\002\022\010\n\004FULL\020\003\022\n\n\006FAILED\020\004" +
+      "\"L\n\nHeldPermit\022\016\n\006permit\030\001 \001(\004\022\017\n\007servic" +
+      "e\030\002 \001(\t\022\016\n\006target\030\003 \001(\t\022\r\n\005batch\030\004 \001(\010\"\314" +
+      "\001\n\014PermitAnswer\0224\n\004kind\030\001 \001(\0162&.tanagerm" +
+      "oor.gateway.PermitAnswer.Kind\022\016\n\006target\030" +
+      "\002 \001(\t\022\032\n\022retry_after_millis\030\003 \001(\r\"Z\n\004Kin" +
+      "d\022\010\n\004NONE\020\000\022\013\n\007GRANTED\020\001\022\020\n\014RATE_LIMITED" +
+      "\020\002\022\016\n\nOVERLOADED\020\003\022\r\n\tNO_TARGET\020\004\022\n\n\006RES" +
+      "YNC\020\005\"\037\n\014PermitRecall\022\017\n\007permits\030\001 \003(\004\")" +
+      "\n\nItemHeader\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(" +
+      "\t\"s\n\007JobItem\022\n\n\002id\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\0220" +
+      "\n\007headers\030\003 \003(\0132\037.tanagermoor.gateway.It" +
+      "emHeader\022\014\n\004body\030\004 \001(\014\022\016\n\006tokens\030\005 \001(\004\"9" +
+      "\n\nJobContent\022+\n\005items\030\001 \003(\0132\034.tanagermoo" +
+      "r.gateway.JobItem\"\256\001\n\006JobRow\022\n\n\002id\030\001 \001(\t" +
+      "\022\014\n\004team\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004path\030\004 \001" +
+      "(\t\022\027\n\017accepted_millis\030\005 \001(\004\022\r\n\005total\030\006 \001" +
+      "(\r\022\020\n\010recorded\030\007 \001(\r\022\r\n\005ended\030\010 \001(\010\022\026\n\016t" +
+      "okens_waiting\030\t \001(\004\022\r\n\005owner\030\n \001(\t\"=\n\nRe" +
+      "sultPart\022\014\n\004item\030\001 \001(\t\022\021\n\tcompleted\030\002 \001(" +
+      "\010\022\016\n\006output\030\003 \001(\014\"R\n\014ItemProgress\022\014\n\004ite" +
+      "m\030\001 \001(\t\022\022\n\nlast_event\030\002 \001(\004\022\016\n\006output\030\003 " +
+      "\001(\014\022\020\n\010failures\030\004 \001(\rB!\n\035org.tanagermoor" +
+      ".gateway.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -178,7 +186,7 @@
     internal_static_tanagermoor_gateway_MemberSign_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_MemberSign_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "PeerAddress", "CallerAddress", "Domain", "AgeMillis", "Stopping", });
+        new java.lang.String[] { "Name", "Incarnation", "PeerAddress", "CallerAddress", "Domain", "AgeMillis", "Stopping", "StartedMillis", "ProcessorPercent", });
     internal_static_tanagermoor_gateway_TableMark_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_tanagermoor_gateway_TableMark_fieldAccessorTable = new
@@ -275,6 +283,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ResultPart_descriptor,
         new java.lang.String[] { "Item", "Completed", "Output", });
+    internal_static_tanagermoor_gateway_ItemProgress_descriptor =
+      getDescriptor().getMessageType(17);
+    internal_static_tanagermoor_gateway_ItemProgress_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagermoor_gateway_ItemProgress_descriptor,
+        new java.lang.String[] { "Item", "LastEvent", "Output", "Failures", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/MemberSign.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/MemberSign.java
@@ -249,6 +249,36 @@
     return stopping_;
   }
 
+  public static final int STARTED_MILLIS_FIELD_NUMBER = 8;
+  private long startedMillis_ = 0L;
+  /**
+   * <pre>
+   * The time of day of the start in milliseconds, by the instance's own clock.
+   * </pre>
+   *
+   * <code>uint64 started_millis = 8;</code>
+   * @return The startedMillis.
+   */
+  @java.lang.Override
+  public long getStartedMillis() {
+    return startedMillis_;
+  }
+
+  public static final int PROCESSOR_PERCENT_FIELD_NUMBER = 9;
+  private int processorPercent_ = 0;
+  /**
+   * <pre>
+   * The processor share of the instance in hundredths of a core.
+   * </pre>
+   *
+   * <code>uint32 processor_percent = 9;</code>
+   * @return The processorPercent.
+   */
+  @java.lang.Override
+  public int getProcessorPercent() {
+    return processorPercent_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -284,6 +314,12 @@
     if (stopping_ != false) {
       output.writeBool(7, stopping_);
     }
+    if (startedMillis_ != 0L) {
+      output.writeUInt64(8, startedMillis_);
+    }
+    if (processorPercent_ != 0) {
+      output.writeUInt32(9, processorPercent_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -312,6 +348,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(7, stopping_);
     }
+    if (startedMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(8, startedMillis_);
+    }
+    if (processorPercent_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(9, processorPercent_);
+    }
     return size;
   }
   @java.lang.Override
@@ -350,6 +394,10 @@
         != other.getAgeMillis()) return false;
     if (getStopping()
         != other.getStopping()) return false;
+    if (getStartedMillis()
+        != other.getStartedMillis()) return false;
+    if (getProcessorPercent()
+        != other.getProcessorPercent()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -377,6 +425,11 @@
     hash = (37 * hash) + STOPPING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getStopping());
+    hash = (37 * hash) + STARTED_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStartedMillis());
+    hash = (37 * hash) + PROCESSOR_PERCENT_FIELD_NUMBER;
+    hash = (53 * hash) + getProcessorPercent();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -519,6 +572,8 @@
       domain_ = "";
       ageMillis_ = 0;
       stopping_ = false;
+      startedMillis_ = 0L;
+      processorPercent_ = 0;
       return this;
     }
 
@@ -573,6 +628,12 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.stopping_ = stopping_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.startedMillis_ = startedMillis_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.processorPercent_ = processorPercent_;
+      }
     }
 
     @java.lang.Override
@@ -616,6 +677,12 @@
       if (other.getStopping() != false) {
         setStopping(other.getStopping());
       }
+      if (other.getStartedMillis() != 0L) {
+        setStartedMillis(other.getStartedMillis());
+      }
+      if (other.getProcessorPercent() != 0) {
+        setProcessorPercent(other.getProcessorPercent());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -675,6 +742,16 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 64: {
+              startedMillis_ = input.readUInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 72: {
+              processorPercent_ = input.readUInt32();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1088,6 +1165,94 @@
       return this;
     }
 
+    private long startedMillis_ ;
+    /**
+     * <pre>
+     * The time of day of the start in milliseconds, by the instance's own clock.
+     * </pre>
+     *
+     * <code>uint64 started_millis = 8;</code>
+     * @return The startedMillis.
+     */
+    @java.lang.Override
+    public long getStartedMillis() {
+      return startedMillis_;
+    }
+    /**
+     * <pre>
+     * The time of day of the start in milliseconds, by the instance's own clock.
+     * </pre>
+     *
+     * <code>uint64 started_millis = 8;</code>
+     * @param value The startedMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStartedMillis(long value) {
+
+      startedMillis_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The time of day of the start in milliseconds, by the instance's own clock.
+     * </pre>
+     *
+     * <code>uint64 started_millis = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStartedMillis() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      startedMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private int processorPercent_ ;
+    /**
+     * <pre>
+     * The processor share of the instance in hundredths of a core.
+     * </pre>
+     *
+     * <code>uint32 processor_percent = 9;</code>
+     * @return The processorPercent.
+     */
+    @java.lang.Override
+    public int getProcessorPercent() {
+      return processorPercent_;
+    }
+    /**
+     * <pre>
+     * The processor share of the instance in hundredths of a core.
+     * </pre>
+     *
+     * <code>uint32 processor_percent = 9;</code>
+     * @param value The processorPercent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setProcessorPercent(int value) {
+
+      processorPercent_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The processor share of the instance in hundredths of a core.
+     * </pre>
+     *
+     * <code>uint32 processor_percent = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearProcessorPercent() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      processorPercent_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.MemberSign)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/MemberSignOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/MemberSignOrBuilder.java
@@ -79,4 +79,24 @@
    * @return The stopping.
    */
   boolean getStopping();
+
+  /**
+   * <pre>
+   * The time of day of the start in milliseconds, by the instance's own clock.
+   * </pre>
+   *
+   * <code>uint64 started_millis = 8;</code>
+   * @return The startedMillis.
+   */
+  long getStartedMillis();
+
+  /**
+   * <pre>
+   * The processor share of the instance in hundredths of a core.
+   * </pre>
+   *
+   * <code>uint32 processor_percent = 9;</code>
+   * @return The processorPercent.
+   */
+  int getProcessorPercent();
 }
