Rank dispatchers by strength and start before their names

On the grown deployments a third of the machines has 0.36 of a core. Change: signs of life carry the start and the processor share; weak instances and late starts rank last. Test: LivenessTest.ranksDispatchersByStrengthAndStart.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import org.tanagermoor.gateway.follow.TableFollower;
 import org.tanagermoor.gateway.forward.TargetConnections;
 import org.tanagermoor.gateway.forward.TargetProtocol;
+import org.tanagermoor.gateway.job.ItemPace;
 import org.tanagermoor.gateway.job.JobContext;
 import org.tanagermoor.gateway.job.JobStore;
 import org.tanagermoor.gateway.job.Jobs;
@@ -108,10 +109,10 @@
         this.loop = loop;
         events = context.events();
         time = context.time();
-        String domain = context.settings().value(GatewayPlugin.FAILURE_DOMAIN);
         PeerLink link = context.service(PeerLink.class);
-        Address callers = context.settings().value(GatewayPlugin.CALLER_ADDRESS);
-        liveness = Liveness.of(new Instance(context.service(InstanceId.class), link.address(), callers, domain));
+        Instance self = self(context, link);
+        String domain = self.domain();
+        liveness = Liveness.of(self);
         FleetCodec codec = context.service(FleetCodec.class);
         fleet = FleetState.of(codec, events, this::fleetChanged);
         ChangeFeed feed = context.service(ChangeFeed.class);
@@ -134,7 +135,8 @@
                         metrics,
                         time,
                         domain,
-                        new HashMap<>()),
+                        new HashMap<>(),
+                        ItemPace.of()),
                 liveness,
                 this::jobsCurrent);
         jobTable = follow(feed, JobStore.JOBS, JOB_PAUSE, jobs::changed);
@@ -169,6 +171,17 @@
         return new Gateway(context, loop);
     }
 
+    /** Returns this instance, as its settings describe it. */
+    private static Instance self(Context context, PeerLink link) {
+        return new Instance(
+                context.service(InstanceId.class),
+                link.address(),
+                context.settings().value(GatewayPlugin.CALLER_ADDRESS),
+                context.settings().value(GatewayPlugin.FAILURE_DOMAIN),
+                context.time().wallMillis(),
+                context.settings().value(GatewayPlugin.PROCESSOR_SHARE));
+    }
+
     /** Starts to follow the store and to listen. */
     void start(EventLoopGroup group, List<Address> addresses) {
         dispatchServer.ownRecalls(jobs::recall);
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayPlugin.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayPlugin.java
@@ -56,6 +56,13 @@
             "8",
             GatewayPlugin::seconds);
 
+    /** The processor share of the machine. */
+    public static final Setting<Double> PROCESSOR_SHARE = new Setting<>(
+            "processor-share",
+            "the processor share of this instance in cores; factors may be joined by *",
+            "1",
+            GatewayPlugin::product);
+
     /** The part of the grace that is kept for the end of the process. */
     private static final Duration STOP_MARGIN = Duration.ofMillis(800);
 
@@ -108,7 +115,14 @@
     @Override
     public List<Setting<?>> settings() {
         return List.of(
-                CALLER_ADDRESS, READY_ADDRESS, DIRECTORY_ADDRESS, METRICS_ADDRESS, FAILURE_DOMAIN, SEEDS, STOP_GRACE);
+                CALLER_ADDRESS,
+                READY_ADDRESS,
+                DIRECTORY_ADDRESS,
+                METRICS_ADDRESS,
+                FAILURE_DOMAIN,
+                SEEDS,
+                STOP_GRACE,
+                PROCESSOR_SHARE);
     }
 
     /** {@inheritDoc} */
@@ -172,6 +186,21 @@
         }
     }
 
+    /** Reads a product of positive numbers. */
+    private static Either<String, Double> product(String text) {
+        double result = 1;
+        for (String factor : text.split("\\*", -1)) {
+            try {
+                result *= Double.parseDouble(factor.strip());
+            } catch (NumberFormatException exception) {
+                return Either.left("is no product of numbers: " + text);
+            }
+        }
+        return result > 0 && Double.isFinite(result)
+                ? Either.right(result)
+                : Either.left("must be above 0, but is " + text);
+    }
+
     /** Reads addresses. */
     private static Either<String, List<Address>> addresses(String text) {
         List<Address> result = new ArrayList<>();
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Instance.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Instance.java
@@ -10,5 +10,8 @@
  * @param peer The address for other instances.
  * @param caller The address for callers.
  * @param domain The failure domain.
+ * @param startedMillis The time of day of its start in milliseconds, by its own clock; the same for all who know it.
+ * @param processorShare Its processor share in cores.
  */
-public record Instance(InstanceId id, Address peer, Address caller, String domain) {}
+public record Instance(
+        InstanceId id, Address peer, Address caller, String domain, long startedMillis, double processorShare) {}
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Liveness.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Liveness.java
@@ -1,9 +1,11 @@
 package org.tanagermoor.gateway.member;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.tanagermoor.policy.fleet.InstanceId;
 import org.tanagermoor.policy.fleet.Rendezvous;
@@ -26,6 +28,12 @@
     /** The key by which the dispatcher is ranked. */
     private static final String DISPATCHER_KEY = "dispatcher";
 
+    /** The processor share in cores from which an instance may dispatch for a fleet: that of the usual machines. */
+    private static final double DISPATCHER_SHARE_LEAST = 1.0;
+
+    /** The span within which starts count as equal, in milliseconds: a fleet starts within it. */
+    private static final long START_SPAN_MILLIS = TimeUnit.SECONDS.toMillis(10);
+
     /** This instance. */
     private final Instance self;
 
@@ -168,14 +176,20 @@
     }
 
     /**
-     * Returns the instance that dispatches.
+     * Returns the instance that dispatches. Instances with a weak processor come last, since each request needs the
+     * dispatcher, and those that started lately behind earlier ones: a process is slow at first, and a restart shall
+     * not change the dispatcher once more.
      *
      * @param now The present monotonic time in nanoseconds.
      * @return The instance, this one if no other serves.
      */
     public Instance dispatcher(long now) {
-        return Rendezvous.first(
-                        DISPATCHER_KEY, serving(now), instance -> instance.id().name())
+        List<Instance> serving = serving(now);
+        Optional<Rank> best = serving.stream().map(Rank::of).min(Rank.ORDER);
+        List<Instance> first = serving.stream()
+                .filter(instance -> best.filter(Rank.of(instance)::equals).isPresent())
+                .toList();
+        return Rendezvous.first(DISPATCHER_KEY, first, instance -> instance.id().name())
                 .orElse(self);
     }
 
@@ -199,6 +213,25 @@
      */
     public record Sign(Instance instance, long ageNanos, boolean stopping) {}
 
+    /**
+     * What ranks an instance as a dispatcher before the hash of its name.
+     *
+     * @param weak Whether its processor share is too small.
+     * @param start The span in which it started.
+     */
+    private record Rank(boolean weak, long start) {
+
+        /** The better one first. */
+        private static final Comparator<Rank> ORDER =
+                Comparator.comparing(Rank::weak).thenComparingLong(Rank::start);
+
+        /** Returns the rank of an instance. */
+        private static Rank of(Instance instance) {
+            return new Rank(
+                    instance.processorShare() < DISPATCHER_SHARE_LEAST, instance.startedMillis() / START_SPAN_MILLIS);
+        }
+    }
+
     /** What is known of an instance. */
     private static final class State {
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/MemberCodec.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/MemberCodec.java
@@ -10,6 +10,9 @@
 /** Writes and reads signs of life. */
 public final class MemberCodec {
 
+    /** The hundredths of a core. */
+    private static final double PERCENT = 100;
+
     /** There are no instances. */
     private MemberCodec() {}
 
@@ -22,6 +25,8 @@
                 .setPeerAddress(instance.peer().toString())
                 .setCallerAddress(instance.caller().toString())
                 .setDomain(instance.domain())
+                .setStartedMillis(instance.startedMillis())
+                .setProcessorPercent((int) Math.round(instance.processorShare() * PERCENT))
                 .setAgeMillis((int) TimeUnit.NANOSECONDS.toMillis(sign.ageNanos()))
                 .setStopping(sign.stopping())
                 .build();
@@ -38,7 +43,9 @@
                 InstanceId.of(message.getName(), message.getIncarnation()),
                 peer.get(),
                 caller.get(),
-                message.getDomain());
+                message.getDomain(),
+                message.getStartedMillis(),
+                message.getProcessorPercent() / PERCENT);
         return Optional.of(new Liveness.Sign(
                 instance,
                 TimeUnit.MILLISECONDS.toNanos(Integer.toUnsignedLong(message.getAgeMillis())),
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchClientTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchClientTest.java
@@ -210,7 +210,7 @@
         /** Creates an instance. */
         Node(String name, int port) {
             Address address = Address.of("127.0.0.1", port);
-            instance = new Instance(InstanceId.of(name, 1), address, address, "lisbon");
+            instance = new Instance(InstanceId.of(name, 1), address, address, "lisbon", 0, 1);
             liveness = Liveness.of(instance);
             nodes.put(address, this);
             EventLoop loop = channel.eventLoop();
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/member/LivenessTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/member/LivenessTest.java
@@ -95,6 +95,27 @@
         }
     }
 
+    /** A restart does not make an instance the dispatcher again, and a weak machine dispatches only if no other serves. */
+    @ParameterizedTest
+    @CsvSource({"0, 1.5, 20000, 1.5, a", "20000, 1.5, 0, 1.5, b", "0, 0.36, 20000, 1.5, b", "0, 0.36, 20000, 0.36, a"})
+    void ranksDispatchersByStrengthAndStart(
+            long startOfA, double shareOfA, long startOfB, double shareOfB, String expected) {
+        Liveness view = Liveness.of(instance("a", startOfA, shareOfA));
+        view.observe(new Liveness.Sign(instance("b", startOfB, shareOfB), 0, false), now);
+        assertThat(view.dispatcher(now).id().name(), is(expected));
+    }
+
+    /** Returns an instance. */
+    private static Instance instance(String name, long startedMillis, double share) {
+        return new Instance(
+                InstanceId.of(name, 1),
+                Address.of("127.0.0.1", 1),
+                Address.of("127.0.0.1", 2),
+                "lisbon-a",
+                startedMillis,
+                share);
+    }
+
     /** Returns names. */
     private static List<String> names(List<Instance> instances) {
         return instances.stream().map(instance -> instance.id().name()).toList();
@@ -103,7 +124,12 @@
     /** Returns an instance. */
     private static Instance instance(String name, long incarnation) {
         return new Instance(
-                InstanceId.of(name, incarnation), Address.of("127.0.0.1", 1), Address.of("127.0.0.1", 2), "lisbon-a");
+                InstanceId.of(name, incarnation),
+                Address.of("127.0.0.1", 1),
+                Address.of("127.0.0.1", 2),
+                "lisbon-a",
+                0,
+                1);
     }
 
     /** Returns milliseconds in nanoseconds. */
