Judge targets by what they did to requests, and serve first what can still be in time

Load answered: targets that fail a part of their requests while they call themselves ready, for all callers or for one failure domain; targets that are slow; more items of jobs than can end in time. Cause: a target counted as broken only after two failures in a row, and each success forgot them; the freest target was chosen however slow it was; items went by due time though the first could no longer make it; a stream at a silent target was held until its caller left.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -32,15 +31,9 @@
     /** The age from which a permit that its holder does not know of is taken back, in nanoseconds: two round trips. */
     private static final long RESYNC_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    /** The time for which an online request holds a place before any was seen, in nanoseconds. */
-    private static final double HOLD_NANOS_FIRST = 700e6;
-
     /** The time until a recalled item of a job has given its place up, in nanoseconds: a few round trips. */
     private static final double RECALL_WAIT_NANOS = 20e6;
 
-    /** The weight of a new observation in the mean of the time for which a place is held. */
-    private static final double HOLD_WEIGHT = 0.05;
-
     /** The least time after which a refused caller is told to come back, in milliseconds. */
     private static final long RETRY_MILLIS_LEAST = 50;
 
@@ -62,9 +55,6 @@
     /** The rates of the teams. */
     private final TeamRates rates;
 
-    /** The mean time for which an online request holds a place, in nanoseconds. */
-    private double holdNanos = HOLD_NANOS_FIRST;
-
     /** Creates a dispatcher without targets. */
     private Dispatcher(Sink sink, TeamRates rates) {
         this.sink = sink;
@@ -159,9 +149,11 @@
         Place target = queue.places().get(place.target);
         if (target != null) {
             target.release(place.batch, outcome, now);
-        }
-        if (!place.batch && outcome == PlaceOutcome.SERVED) {
-            holdNanos += HOLD_WEIGHT * (now - place.since - holdNanos);
+            target.note(place.domain, outcome, now);
+            if (!place.batch && outcome == PlaceOutcome.SERVED) {
+                target.held(now - place.since);
+                queue.held(now - place.since);
+            }
         }
         drain(queue, now);
     }
@@ -185,7 +177,7 @@
         }
         for (HeldPlace permit : permits) {
             if (!known.containsKey(permit.permit())) {
-                known.put(permit.permit(), new Held(holder, permit, now));
+                known.put(permit.permit(), new Held(holder, permit, "", 0, now));
                 Place place = queue(permit.service()).places().get(permit.target());
                 if (place != null) {
                     place.count(permit.batch(), 1);
@@ -263,7 +255,7 @@
         boolean first = ask.batch() ? queue.batch().isEmpty() && queue.online().isEmpty() : !contended(queue, now);
         Optional<Place> place = first ? queue.choose(ask, now) : Optional.empty();
         if (place.isPresent()) {
-            return Optional.of(grant(queue, ask, place.get(), now));
+            return Optional.of(grant(queue, ask, place.get(), ask.onTimeNanos(), now));
         }
         if (!ask.batch()) {
             double wait = expectedWait(queue, now);
@@ -291,7 +283,7 @@
         long before =
                 queue.online().stream().filter(waiting -> waiting.onTime(now)).count();
         long position = before + 1 - queue.batchPlaces();
-        return position <= 0 ? RECALL_WAIT_NANOS : position * holdNanos / (queue.slots(now) + 1);
+        return position <= 0 ? RECALL_WAIT_NANOS : position * queue.holdNanos() / (queue.slots(now) + 1);
     }
 
     /** Gives out free places: to online requests that can be on time, to late ones, then to items of jobs. */
@@ -303,10 +295,7 @@
             }
         }
         while (!queue.batch().isEmpty()) {
-            ServiceQueue.Waiting next = queue.batch().stream()
-                    .min(Comparator.comparingLong(ServiceQueue.Waiting::due))
-                    .orElseThrow();
-            if (!serve(queue, queue.batch(), next, now)) {
+            if (!serve(queue, queue.batch(), queue.nextBatch(now), now)) {
                 return;
             }
         }
@@ -319,7 +308,7 @@
             return false;
         }
         waiting.remove(next);
-        sink.decided(next.ask(), grant(queue, next.ask(), place.get(), now));
+        sink.decided(next.ask(), grant(queue, next.ask(), place.get(), next.slack(now), now));
         return true;
     }
 
@@ -338,33 +327,33 @@
         expired.forEach(next -> sink.decided(next.ask(), new Verdict.Refused(Verdict.Reason.OVERLOADED, retry)));
     }
 
-    /** Asks for the place of one item of a job, the one that was granted last. */
+    /** Asks for the place of one item of a job: one that is late anyway, else the one that can best wait. */
     private void recallOne(ServiceQueue queue) {
-        Held youngest = null;
+        Held best = null;
         for (Map<Long, Held> permits : held.values()) {
             for (Held place : permits.values()) {
                 if (place.batch
                         && queue.places().containsKey(place.target)
                         && !recalled.contains(place)
-                        && (youngest == null || place.since - youngest.since > 0)) {
-                    youngest = place;
+                        && (best == null || place.canWaitBetter(best))) {
+                    best = place;
                 }
             }
         }
-        if (youngest != null) {
-            recalled.add(youngest);
-            sink.recall(youngest.holder, youngest.permit);
+        if (best != null) {
+            recalled.add(best);
+            sink.recall(best.holder, best.permit);
         }
     }
 
     /** Grants a place. */
-    private Verdict grant(ServiceQueue queue, Ask ask, Place place, long now) {
+    private Verdict grant(ServiceQueue queue, Ask ask, Place place, long slack, long now) {
         place.take(ask.batch(), now);
         queue.remember(ask, place);
         HeldPlace permit =
                 new HeldPlace(ask.permit(), ask.service(), place.entry().id(), ask.batch());
         held.computeIfAbsent(ask.holder(), holder -> new HashMap<>())
-                .put(ask.permit(), new Held(ask.holder(), permit, now));
+                .put(ask.permit(), new Held(ask.holder(), permit, ask.domain(), slack, now));
         return new Verdict.Granted(place.entry().id());
     }
 
@@ -434,12 +423,20 @@
         /** Whether an item of a job uses it. */
         private final boolean batch;
 
+        /** The failure domain of the holder; empty if it is not known. */
+        private final String domain;
+
+        /** How long the request could have waited on and been on time, in nanoseconds; below 0 if it is late. */
+        private final long slack;
+
         /** The monotonic time of the grant in nanoseconds. */
         private final long since;
 
         /** Creates a place in use. */
-        Held(String holder, HeldPlace place, long since) {
+        Held(String holder, HeldPlace place, String domain, long slack, long since) {
             this.holder = holder;
+            this.domain = domain;
+            this.slack = slack;
             permit = place.permit();
             service = place.service();
             target = place.target();
@@ -447,6 +444,14 @@
             this.since = since;
         }
 
+        /** Returns whether an item loses less by waiting than another one. A late item has little left to lose. */
+        private boolean canWaitBetter(Held other) {
+            if ((slack < 0) != (other.slack < 0)) {
+                return slack < 0;
+            }
+            return slack == other.slack ? since - other.since > 0 : slack > other.slack;
+        }
+
         /** {@inheritDoc} */
         @Override
         public boolean equals(@Nullable Object other) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.jspecify.annotations.Nullable;
 
 /** The targets of a service and what waits for them. */
 final class ServiceQueue {
@@ -28,6 +27,18 @@
     /** The most prompts whose last target is remembered. */
     private static final int PROMPTS_MOST = 4_096;
 
+    /**
+     * How much more load the target may have that served a prompt last, as a part of its places: reading the shared
+     * part again takes a few ms, a busier engine takes longer for each token.
+     */
+    private static final double PROMPT_LOAD = 0.13;
+
+    /** The time for which an online request holds a place before any was seen, in nanoseconds. */
+    private static final double HOLD_NANOS_FIRST = 700e6;
+
+    /** The weight of a new observation in the mean of the time for which a place is held. */
+    private static final double HOLD_WEIGHT = 0.05;
+
     /** The targets by identity. */
     private final Map<String, Place> places = new LinkedHashMap<>();
 
@@ -37,6 +48,9 @@
     /** The items of jobs that wait, in the order of their arrival. */
     private final List<Waiting> batch = new ArrayList<>();
 
+    /** The mean time for which an online request holds a place, in nanoseconds. */
+    private double holdNanos = HOLD_NANOS_FIRST;
+
     /** The last target of each prompt. */
     private final Map<Long, String> prompts = new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1L;
@@ -82,8 +96,9 @@
     }
 
     /**
-     * Chooses a target with a free place: the one that served the prompt last, else of the own failure domain on a tie
-     * of the fewest places in use.
+     * Chooses a target with a free place: one that serves what it gets before one that is suspected, then the one with
+     * the least load, then one of the own failure domain. The target that served the prompt last goes first among those
+     * whose load hardly differs.
      *
      * @param ask The request.
      * @param now The present monotonic time in nanoseconds.
@@ -93,17 +108,45 @@
         if (ask.batch() && free(places.values(), now) <= reserve(now)) {
             return Optional.empty();
         }
-        Place last = remembered(ask);
-        if (last != null
-                && last.open(now)
-                && !ask.excluded().contains(last.entry().id())) {
-            return Optional.of(last);
-        }
-        return places.values().stream()
-                .filter(place -> place.open(now)
-                        && !ask.excluded().contains(place.entry().id()))
-                .max(Comparator.comparingInt(Place::free)
-                        .thenComparing(place -> place.entry().domain().equals(ask.domain())));
+        Optional<Place> best = places.values().stream()
+                .filter(place -> open(place, ask, now))
+                .min(Comparator.<Place, Boolean>comparing(place -> place.suspected(ask.domain(), now))
+                        .thenComparingDouble(place -> place.load(holdNanos))
+                        .thenComparing(place -> !place.entry().domain().equals(ask.domain())));
+        double most = best.map(place -> place.load(holdNanos) + PROMPT_LOAD).orElse(0.0);
+        return remembered(ask)
+                .filter(last -> open(last, ask, now) && !last.suspected(ask.domain(), now))
+                .filter(last -> last.load(holdNanos) <= most)
+                .or(() -> best);
+    }
+
+    /** Returns whether a target may get a request now. */
+    private static boolean open(Place place, Ask ask, long now) {
+        return place.open(now) && !ask.excluded().contains(place.entry().id());
+    }
+
+    /**
+     * Returns the item of a job that goes next: of those that can still end in time the one that must begin first, else
+     * the one that missed its time last.
+     *
+     * @param now The present monotonic time in nanoseconds.
+     * @return The item, of which there must be one.
+     */
+    Waiting nextBatch(long now) {
+        return batch.stream()
+                .min(Comparator.<Waiting, Boolean>comparing(waiting -> !waiting.onTime(now))
+                        .thenComparingLong(waiting -> waiting.slack(now)))
+                .orElseThrow();
+    }
+
+    /** Takes in for how long an online request held its place. */
+    void held(long nanos) {
+        holdNanos += HOLD_WEIGHT * (nanos - holdNanos);
+    }
+
+    /** Returns the mean time for which an online request holds a place, in nanoseconds. */
+    double holdNanos() {
+        return holdNanos;
     }
 
     /**
@@ -152,10 +195,9 @@
     }
 
     /** Returns the last target of the prompt of a request. */
-    @Nullable
-    private Place remembered(Ask ask) {
-        String target = ask.promptKey() == 0 ? null : prompts.get(ask.promptKey());
-        return target == null ? null : places.get(target);
+    private Optional<Place> remembered(Ask ask) {
+        return Optional.ofNullable(ask.promptKey() == 0 ? null : prompts.get(ask.promptKey()))
+                .map(places::get);
     }
 
     /** Returns the free places. */
@@ -190,14 +232,14 @@
             return ask;
         }
 
-        /** Returns the monotonic time in nanoseconds at which it becomes late. */
-        long due() {
-            return since + ask.onTimeNanos();
+        /** Returns how long it can wait on and still be on time, in nanoseconds; below 0 if it cannot. */
+        long slack(long now) {
+            return since + ask.onTimeNanos() - now;
         }
 
         /** Returns whether it can still be on time. */
         boolean onTime(long now) {
-            return now - since <= ask.onTimeNanos();
+            return slack(now) >= 0;
         }
 
         /** Returns whether waiting has become useless, or its holder asks no more. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -13,6 +13,7 @@
 import org.tanagermoor.gateway.dispatch.PlaceOutcome;
 import org.tanagermoor.gateway.dispatch.Verdict;
 import org.tanagermoor.gateway.fleet.Route;
+import org.tanagermoor.gateway.fleet.RouteKind;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.gateway.forward.EventFrames;
 import org.tanagermoor.gateway.forward.Outgoing;
@@ -40,6 +41,12 @@
     /** The time after which a caller may come back when nothing better is known, in milliseconds. */
     private static final long RETRY_MILLIS = 250;
 
+    /**
+     * The silence after which a target counts as lost, in milliseconds: far above the pauses of a slow target, and
+     * below the 2 s after which callers of streams give up, so that another run still reaches them.
+     */
+    private static final long SILENCE_MILLIS = 1_700;
+
     /** What calls need. */
     private final CallContext context;
 
@@ -102,6 +109,13 @@
     /** The number of the last event that was passed on. */
     private long lastEvent;
 
+    /** Looks whether the target has gone silent, or {@code null} while there is no exchange of a stream. */
+    @Nullable
+    private ScheduledFuture<?> watch;
+
+    /** The monotonic time in nanoseconds at which something last came from the target. */
+    private long heardAt;
+
     /** Whether the call has ended. */
     private boolean ended;
 
@@ -228,6 +242,8 @@
                         TimeUnit.NANOSECONDS.toMillis(now - arrivedAt),
                         "left-ms",
                         left);
+        heardAt = now;
+        watchIn(SILENCE_MILLIS);
         exchange = context.connections()
                 .send(
                         entry,
@@ -243,9 +259,35 @@
                         this);
     }
 
+    /**
+     * Schedules the next look at the target. Only streams say something all the time, and a run that may not be
+     * repeated is worth waiting for.
+     */
+    private void watchIn(long millis) {
+        if (route.kind() == RouteKind.STREAM && route.repeatable()) {
+            watch = context.loop().schedule(this::lookForSilence, millis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Gives a target up that has gone silent; one whose caller does not read is held back and not silent. */
+    private void lookForSilence() {
+        if (ended || exchange == null) {
+            return;
+        }
+        long quiet = TimeUnit.NANOSECONDS.toMillis(context.time().nanos() - heardAt);
+        if (quiet < SILENCE_MILLIS) {
+            watchIn(SILENCE_MILLIS - quiet);
+        } else if (answering && !responder.writable()) {
+            watchIn(SILENCE_MILLIS);
+        } else {
+            broken("nothing came for " + quiet + " ms");
+        }
+    }
+
     /** {@inheritDoc} */
     @Override
     public void head(TargetHead answer, HttpResponse response) {
+        heardAt = context.time().nanos();
         if (answer.notRun() || answer.otherTarget()) {
             elsewhere("the target did not run the request", PlaceOutcome.FULL);
         } else if (answering && !(answer.events() && answer.status() < FAILED_STATUS)) {
@@ -265,6 +307,7 @@
     /** {@inheritDoc} */
     @Override
     public void body(ByteBuf content) {
+        heardAt = context.time().nanos();
         if (frames == null) {
             responder.body(content.retainedSlice());
         } else {
@@ -421,6 +464,10 @@
 
     /** Ends the present exchange. */
     private void stopExchange() {
+        if (watch != null) {
+            watch.cancel(false);
+            watch = null;
+        }
         if (exchange != null) {
             exchange.cancel();
             exchange = null;
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherTest.java
@@ -4,18 +4,22 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -95,6 +99,104 @@
         assertThat(later, contains("11", "10"));
     }
 
+    /**
+     * Load: one of two targets fails every second request while its entry says that it is ready. Callers hardly meet it
+     * while the other one has room, and it is used again once it is well.
+     */
+    @Test
+    void sendsLittleToATargetThatFailsAPartOfItsRequests() {
+        dispatcher.targets(List.of(target("a", 8, 0), target("b", 8, 0)), service -> 0, now);
+        int failed = 0;
+        for (long permit = 1; permit <= 200; permit++) {
+            boolean fails = target(permit).equals("a") && permit % 2 == 0;
+            failed += fails ? 1 : 0;
+            pass(50);
+            release(permit, fails ? PlaceOutcome.FAILED : PlaceOutcome.SERVED);
+        }
+        assertThat(failed, is(lessThanOrEqualTo(12)));
+        pass(20_000);
+        Set<String> used = new HashSet<>();
+        for (long permit = 201; permit <= 216; permit++) {
+            used.add(target(permit));
+        }
+        assertThat(used, is(Set.of("a", "b")));
+    }
+
+    /** Load: a target fails the requests of one failure domain only; the other domain goes on using it. */
+    @Test
+    void judgesATargetForEachFailureDomain() {
+        dispatcher.targets(List.of(target("a", 8, 0), target("b", 8, 0)), service -> 0, now);
+        for (long permit = 1; permit <= 40; permit++) {
+            String domain = permit % 4 == 0 ? "lisbon-a" : "lisbon-b";
+            Verdict verdict = dispatcher.ask(inDomain(permit, domain), now).orElseThrow();
+            boolean fails = verdict.equals(new Verdict.Granted("a")) && domain.equals("lisbon-a");
+            pass(20);
+            release(permit, fails ? PlaceOutcome.FAILED : PlaceOutcome.SERVED);
+        }
+        List<Verdict> near = new ArrayList<>();
+        List<Verdict> other = new ArrayList<>();
+        for (long permit = 41; permit <= 48; permit += 2) {
+            near.add(dispatcher.ask(inDomain(permit, "lisbon-a"), now).orElseThrow());
+            other.add(dispatcher.ask(inDomain(permit + 1, "lisbon-b"), now).orElseThrow());
+        }
+        assertThat(near, everyItem(equalTo(new Verdict.Granted("b"))));
+        assertThat(other, hasItem(new Verdict.Granted("a")));
+    }
+
+    /** Load: one of two targets takes five times as long; at half load it gets a small part of the requests. */
+    @Test
+    void sendsLittleToASlowTarget() {
+        dispatcher.targets(List.of(target("slow", 8, 0), target("fast", 8, 0)), service -> 0, now);
+        Map<Long, Long> ends = new HashMap<>();
+        int slow = 0;
+        for (long permit = 1; permit <= 400; permit++) {
+            pass(50);
+            for (Map.Entry<Long, Long> end : new TreeMap<>(ends).entrySet()) {
+                if (end.getValue() <= now) {
+                    release(end.getKey(), PlaceOutcome.SERVED);
+                    ends.remove(end.getKey());
+                }
+            }
+            boolean isSlow = target(permit).equals("slow");
+            slow += isSlow ? 1 : 0;
+            ends.put(permit, now + TimeUnit.MILLISECONDS.toNanos(isSlow ? 1_000 : 200));
+        }
+        assertThat(slow, is(lessThanOrEqualTo(400 / 5)));
+    }
+
+    /**
+     * Load: more items of jobs wait than can end in time. Those that still can go before one that cannot, whatever
+     * came first.
+     */
+    @Test
+    void servesItemsThatCanStillEndInTimeFirst() {
+        dispatcher.targets(List.of(target("a", 3, 0)), service -> 0, now);
+        for (long permit = 1; permit <= 2; permit++) {
+            assertThat(ask(permit, true).isPresent(), is(true));
+        }
+        dispatcher.ask(item(10, -500), now);
+        dispatcher.ask(item(11, 3_000), now);
+        dispatcher.ask(item(12, 1_000), now);
+        for (long permit = 1; permit <= 2; permit++) {
+            release(permit, PlaceOutcome.SERVED);
+        }
+        release(12, PlaceOutcome.SERVED);
+        assertThat(later, contains("12", "11", "10"));
+    }
+
+    /** An online request takes the place of an item that is late anyway, else of the one that can best wait. */
+    @Test
+    void recallsTheItemThatLosesLeast() {
+        dispatcher.targets(List.of(target("a", 4, 0)), service -> 0, now);
+        dispatcher.ask(item(1, 2_000), now);
+        dispatcher.ask(item(2, -100), now);
+        dispatcher.ask(item(3, 9_000), now);
+        assertThat(ask(4, false).isPresent(), is(true));
+        ask(5, false);
+        ask(6, false);
+        assertThat(recalled, contains(2L, 3L));
+    }
+
     /** An online request that finds no place takes that of the item of a job that was granted last. */
     @Test
     void recallsOneItemOfAJobForEachOnlineRequest() {
@@ -370,6 +472,24 @@
         dispatcher.release("x", permit, outcome, now);
     }
 
+    /** Asks for a place for an online request, and returns the target that it got. */
+    private String target(long permit) {
+        return ((Verdict.Granted) ask(permit, false).orElseThrow()).target();
+    }
+
+    /** Returns the ask of an item that must begin within a time in milliseconds to end in time. */
+    private static Ask item(long permit, long beginMillis) {
+        Ask ask = ask(permit, true, 10_000, "");
+        long nanos = TimeUnit.MILLISECONDS.toNanos(beginMillis);
+        return new Ask("x", permit, SERVICE, "", ask.domain(), 0, ask.waitNanos(), nanos, true, false, Set.of());
+    }
+
+    /** Returns the ask of an online request that an instance in a failure domain has. */
+    private static Ask inDomain(long permit, String domain) {
+        Ask ask = online(permit);
+        return new Ask("x", permit, SERVICE, "", domain, 0, ask.waitNanos(), ask.onTimeNanos(), false, false, Set.of());
+    }
+
     /** Returns the ask of a caller that comes back. */
     private static Ask returning(long permit, long waitMillis) {
         Ask ask = ask(permit, false, waitMillis, "");
