Begin no items of jobs before it is clear who dispatches

Load answered: the whole fleet starts at once with jobs to take over. A new dispatcher decided waiting asks of items at once, too. Ruled out: the time of the start (ready 0.9 s after it). Change: items ask 0.8 s after a change of the dispatcher at the earliest, and 3 s after the start where no other instance is heard; instances greet up to 8 others at once when they have read the table of instances. Tests: DispatchClientTest.letsItemsWaitUntilItIsClearWhoDispatches (failed first), .beginsItemsWhenItIsAlone.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -163,7 +163,7 @@
                 context.settings().value(GatewayPlugin.SEEDS),
                 events,
                 time);
-        instances = InstanceTable.of(tables, loop, liveness, events, time);
+        instances = InstanceTable.of(tables, loop, liveness, events, time, gossip::greet);
     }
 
     /** Returns a gateway that is not started. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
@@ -46,6 +46,15 @@
     /** The time after which an item of a job asks again while there is no dispatcher, in milliseconds. */
     private static final long BATCH_RETRY_MILLIS = 300;
 
+    /**
+     * The time after a change of the dispatcher before items of jobs ask, in nanoseconds: until then it has not heard
+     * of all places in use, and instances that start together each take themselves for the dispatcher.
+     */
+    private static final long BATCH_SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
+    /** The time after the start for which an instance that hears of no other does not begin items, in nanoseconds. */
+    private static final long ALONE_NANOS = TimeUnit.SECONDS.toNanos(3);
+
     /** The event loop. */
     private final EventLoop loop;
 
@@ -83,6 +92,12 @@
     /** The monotonic time in nanoseconds before which the dispatcher is not asked. */
     private long silentUntil;
 
+    /** The monotonic time of the start in nanoseconds. */
+    private final long startedAt;
+
+    /** The monotonic time in nanoseconds of the last change of the dispatcher. */
+    private long changedAt;
+
     /** Whether a message with returned permits is scheduled. */
     private boolean returning;
 
@@ -109,7 +124,9 @@
         this.events = events;
         this.time = time;
         self = liveness.self().id().toString();
-        silentUntil = time.nanos();
+        startedAt = time.nanos();
+        silentUntil = startedAt;
+        changedAt = startedAt;
     }
 
     /** Returns a client. */
@@ -197,6 +214,7 @@
         events.record(GatewayEvent.DISPATCHER_CHANGED, "dispatcher", dispatcher.id());
         boolean first = last == null;
         last = dispatcher;
+        changedAt = now;
         silentUntil = now;
         boolean dispatching = dispatcher.id().equals(liveness.self().id());
         int members = Math.max(1, liveness.serving(now).size());
@@ -211,7 +229,7 @@
                     .toList();
             uses.values().forEach(use -> use.local = true);
             own.dispatcher().resync(self, held(), now);
-            asking.forEach(this::decideHere);
+            asking.forEach(use -> request(use, now));
         } else if (!uses.isEmpty()) {
             reportAll();
         }
@@ -234,22 +252,35 @@
         }
     }
 
-    /** Sends or decides an ask. */
+    /** Sends or decides an ask, unless that was done at a change of the dispatcher which it notices. */
     private void request(Use use) {
         long now = time.nanos();
         tick(now);
+        if (uses.get(use.ask.permit()) == use && use.target.isEmpty()) {
+            request(use, now);
+        }
+    }
+
+    /** Sends or decides an ask. */
+    private void request(Use use, long now) {
         Instance dispatcher = liveness.dispatcher(now);
-        if (dispatcher.id().equals(liveness.self().id())) {
-            decideHere(use);
-        } else if (now - silentUntil >= 0) {
-            send(dispatcher, use, false);
-        } else if (use.ask.batch()) {
+        boolean here = dispatcher.id().equals(liveness.self().id());
+        boolean reachable = here || now - silentUntil >= 0;
+        if (use.ask.batch() && !(reachable && settled(now))) {
             finish(use, new Verdict.Refused(Verdict.Reason.OVERLOADED, BATCH_RETRY_MILLIS));
-        } else {
+        } else if (here || !reachable) {
             decideHere(use);
+        } else {
+            send(dispatcher, use, false);
         }
     }
 
+    /** Returns whether it is clear who dispatches, and the dispatcher has had time to hear of all places in use. */
+    private boolean settled(long now) {
+        boolean alone = liveness.running(now).isEmpty();
+        return now - changedAt >= BATCH_SETTLE_NANOS && (!alone || now - startedAt >= ALONE_NANOS);
+    }
+
     /** Asks the dispatcher of this instance. */
     private void decideHere(Use use) {
         use.local = true;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Gossip.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Gossip.java
@@ -6,6 +6,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -42,6 +43,9 @@
     /** The exchanges after which an instance that is silent, or an address from the settings, is tried. */
     private static final int SILENT_EVERY = 4;
 
+    /** The most instances that are greeted at once: in a fleet of 90, signs reach all within two such rounds. */
+    private static final int GREET_MOST = 8;
+
     /** The longest time for an answer. */
     private static final Duration TIMEOUT = Duration.ofMillis(700);
 
@@ -134,6 +138,24 @@
         liveness.running(time.nanos()).forEach(instance -> exchange(instance.peer()));
     }
 
+    /** Exchanges signs at once with some instances that may run, so that a fleet that starts anew finds itself soon. */
+    public void greet() {
+        List<Address> others = unheard(List.of());
+        Collections.shuffle(others, ThreadLocalRandom.current());
+        others.stream().limit(GREET_MOST).forEach(this::exchange);
+    }
+
+    /** Returns the addresses of instances that may run but are silent, and those from the settings. */
+    private List<Address> unheard(List<Address> running) {
+        List<Address> others = new ArrayList<>(
+                liveness.silent(time.nanos()).stream().map(Instance::peer).toList());
+        seeds.stream()
+                .filter(seed ->
+                        !running.contains(seed) && !seed.equals(liveness.self().peer()))
+                .forEach(others::add);
+        return others;
+    }
+
     /** Makes one exchange. */
     private void round() {
         long now = time.nanos();
@@ -143,13 +165,7 @@
                 liveness.running(now).stream().map(Instance::peer).toList();
         pick(running);
         if (rounds % SILENT_EVERY == 0 || running.isEmpty()) {
-            List<Address> others = new ArrayList<>(
-                    liveness.silent(now).stream().map(Instance::peer).toList());
-            seeds.stream()
-                    .filter(seed -> !running.contains(seed)
-                            && !seed.equals(liveness.self().peer()))
-                    .forEach(others::add);
-            pick(others);
+            pick(unheard(running));
         }
     }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/InstanceTable.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/InstanceTable.java
@@ -42,8 +42,13 @@
     /** The source of the present time. */
     private final TimeSource time;
 
+    /** Called when the others were read. */
+    private final Runnable found;
+
     /** Creates a table. */
-    private InstanceTable(TableService tables, EventLoop loop, Liveness liveness, EventLog events, TimeSource time) {
+    private InstanceTable(
+            TableService tables, EventLoop loop, Liveness liveness, EventLog events, TimeSource time, Runnable found) {
+        this.found = found;
         this.tables = tables;
         this.loop = loop;
         this.liveness = liveness;
@@ -51,10 +56,20 @@
         this.time = time;
     }
 
-    /** Returns a table. */
+    /**
+     * Returns a table.
+     *
+     * @param tables The store.
+     * @param loop The event loop.
+     * @param liveness Which instances run.
+     * @param events The log.
+     * @param time The source of the present time.
+     * @param found Called when the others were read.
+     * @return A table.
+     */
     public static InstanceTable of(
-            TableService tables, EventLoop loop, Liveness liveness, EventLog events, TimeSource time) {
-        return new InstanceTable(tables, loop, liveness, events, time);
+            TableService tables, EventLoop loop, Liveness liveness, EventLog events, TimeSource time, Runnable found) {
+        return new InstanceTable(tables, loop, liveness, events, time, found);
     }
 
     /** Writes the row of this instance, then reads those of the others; both until they succeed. */
@@ -99,5 +114,6 @@
                 events.record(GatewayEvent.ROW_UNREADABLE, "row", row.key(), "failure", exception);
             }
         }
+        found.run();
     }
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchClientTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchClientTest.java
@@ -92,6 +92,32 @@
         assertThat(first.takeAll(), hasSize(CAPACITY));
     }
 
+    /**
+     * Load: all instances start at once with items of jobs to run. None begins items while it takes itself for the
+     * dispatcher, so that the targets are left to online requests; once it is clear who dispatches, items get places.
+     */
+    @Test
+    void letsItemsWaitUntilItIsClearWhoDispatches() {
+        assertThat(first.ask(true).get(0), instanceOf(Verdict.Refused.class));
+        assertThat(second.ask(true).get(0), instanceOf(Verdict.Refused.class));
+        assertThat(second.ask(false).get(0), instanceOf(Verdict.Granted.class));
+        introduce();
+        assertThat(second.ask(true).get(0), instanceOf(Verdict.Refused.class));
+        pass(1_000);
+        List<Verdict> verdicts = second.ask(true);
+        pass(100);
+        assertThat(verdicts.get(0), instanceOf(Verdict.Granted.class));
+    }
+
+    /** An instance that is alone for good begins items after a while. */
+    @Test
+    void beginsItemsWhenItIsAlone() {
+        dead.add(first.instance.peer());
+        dead.add(second.instance.peer());
+        pass(4_000);
+        assertThat(second.ask(true).get(0), instanceOf(Verdict.Granted.class));
+    }
+
     /** An ask that waits at a dispatcher that dies is decided by the next one. */
     @Test
     void decidesAnAskWhoseDispatcherDied() {
