--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -2,10 +2,10 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.tanagermoor.gateway.dispatch.DispatchClient;
 import org.tanagermoor.gateway.dispatch.DispatchServer;
 import org.tanagermoor.gateway.dispatch.TeamRates;
@@ -44,14 +44,17 @@
     /** The interval of housekeeping in milliseconds. */
     private static final long TICK_MILLIS = 250;
 
-    /** The interval at which requests that wait for a place are looked at, in milliseconds. */
-    private static final long QUEUE_TICK_MILLIS = 25;
-
     /** The interval at which the dispatcher is told of all places in use, in milliseconds. */
     private static final long REPORT_MILLIS = 2_000;
 
-    /** The least time between two reads of the changes of jobs: readers learn of results twice a second. */
-    private static final Duration JOB_PAUSE = Duration.ofMillis(200);
+    /** The least time between two reads of the changes of jobs in milliseconds: readers ask twice a second. */
+    private static final long JOB_PAUSE_MILLIS = 200;
+
+    /** The same at most, in a large fleet; a reader whose copy is older than that has the row read. */
+    private static final long JOB_PAUSE_MILLIS_MOST = 1_200;
+
+    /** The instances for each of which the pause is lengthened, so that the calls of all grow slower than the fleet. */
+    private static final int JOB_PAUSE_INSTANCES = 12;
 
     /** The time for which what the store said last counts as current, in nanoseconds. */
     private static final long CURRENT_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
@@ -116,8 +119,8 @@
         FleetCodec codec = context.service(FleetCodec.class);
         fleet = FleetState.of(codec, events, this::fleetChanged);
         ChangeFeed feed = context.service(ChangeFeed.class);
-        operatorTable = follow(feed, codec.operatorTable(), Duration.ZERO, fleet::operatorChanged);
-        targetTable = follow(feed, codec.targetTable(), Duration.ZERO, this::targetsChanged);
+        operatorTable = follow(feed, codec.operatorTable(), () -> 0, fleet::operatorChanged);
+        targetTable = follow(feed, codec.targetTable(), () -> 0, this::targetsChanged);
         dispatchServer = DispatchServer.of(loop, link, liveness, time, rates);
         dispatchClient = DispatchClient.of(loop, link, liveness, dispatchServer, rates, events, time);
         connections = TargetConnections.of(loop, context.service(TargetProtocol.class), time);
@@ -139,7 +142,7 @@
                         ItemPace.of()),
                 liveness,
                 this::jobsCurrent);
-        jobTable = follow(feed, JobStore.JOBS, JOB_PAUSE, jobs::changed);
+        jobTable = follow(feed, JobStore.JOBS, this::jobPause, jobs::changed);
         CallerProtocol protocol = context.service(CallerProtocol.class);
         edge = Edge.of(
                 new CallContext(
@@ -193,7 +196,6 @@
         gossip.start();
         every(TICK_MILLIS, this::tick);
         every(REPORT_MILLIS, dispatchClient::reportAll);
-        every(QUEUE_TICK_MILLIS, this::queueTick);
         addresses.forEach(address -> edge.listen(group, address));
     }
 
@@ -262,13 +264,6 @@
         jobs.tick(now);
     }
 
-    /** Looks at requests that wait for a place. */
-    private void queueTick() {
-        if (dispatchServer.dispatcher().waits()) {
-            dispatchServer.dispatcher().tick(time.nanos());
-        }
-    }
-
     /** Takes over changes of the targets. */
     private void targetsChanged(List<ChangeFeed.Change> rows) {
         long now = time.nanos();
@@ -298,11 +293,17 @@
                 && time.nanos() - jobTable.answeredAt() < CURRENT_NANOS;
     }
 
+    /** Returns the least time between two reads of the changes of jobs, in milliseconds. */
+    private long jobPause() {
+        long groups = 1L + liveness.running(time.nanos()).size() / JOB_PAUSE_INSTANCES;
+        return Math.min(JOB_PAUSE_MILLIS_MOST, JOB_PAUSE_MILLIS * groups);
+    }
+
     /** Follows a table. */
     private TableFollower follow(
             ChangeFeed feed,
             String table,
-            Duration pause,
+            LongSupplier pause,
             java.util.function.Consumer<List<ChangeFeed.Change>> listener) {
         return TableFollower.of(FollowedTable.of(table), feed, loop, events, time, pause, listener);
     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
@@ -29,6 +29,9 @@
     /** The same for an item of a job, which is in no hurry. */
     private static final long BATCH_HOLD_MILLIS = 1_000;
 
+    /** The interval at which requests that wait for a place are looked at, in milliseconds. */
+    private static final long LOOK_MILLIS = 25;
+
     /** The longest time for a message to the holder of a permit. */
     private static final java.time.Duration RECALL_TIMEOUT = java.time.Duration.ofMillis(500);
 
@@ -50,6 +53,9 @@
     /** Those who wait for an answer, by holder and permit. */
     private final Map<String, Consumer<PermitAnswer>> waiting = new HashMap<>();
 
+    /** Whether a look at what waits is scheduled. */
+    private boolean looking;
+
     /** Takes recalls of permits that this instance holds. */
     private Consumer<Long> ownRecalls = permit -> {};
 
@@ -87,6 +93,7 @@
             answer.accept(DispatchCodec.toMessage(verdict.get()));
             return;
         }
+        lookAgain();
         String key = key(ask.holder(), ask.permit());
         waiting.put(key, answer);
         loop.schedule(
@@ -106,13 +113,27 @@
      */
     public void tick(long now) {
         for (String holder : dispatcher.holders()) {
-            if (liveness.running(now).stream()
-                            .noneMatch(instance -> instance.id().toString().equals(holder))
-                    && !holder.equals(liveness.self().id().toString())) {
+            if (!liveness.runs(holder, now)) {
                 dispatcher.forget(holder, now);
             }
         }
         dispatcher.tick(now);
+        lookAgain();
+    }
+
+    /** Schedules the next look at what waits, if anything does. */
+    private void lookAgain() {
+        if (!looking && dispatcher.waits()) {
+            looking = true;
+            loop.schedule(
+                    () -> {
+                        looking = false;
+                        dispatcher.tick(time.nanos());
+                        lookAgain();
+                    },
+                    LOOK_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
     }
 
     /** {@inheritDoc} */
@@ -131,9 +152,7 @@
             loop.execute(() -> ownRecalls.accept(permit));
             return;
         }
-        liveness.running(time.nanos()).stream()
-                .filter(instance -> instance.id().toString().equals(holder))
-                .findFirst()
+        liveness.running(holder, time.nanos())
                 .ifPresent(instance -> link.call(
                                 instance.peer(),
                                 instance.id().incarnation(),
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/follow/TableFollower.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/follow/TableFollower.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.tanagermoor.gateway.GatewayEvent;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.failure.Failure;
@@ -16,7 +17,7 @@
 public final class TableFollower {
 
     /** The longest wait of one call; bounds how long a connection that went silent is not noticed. */
-    private static final Duration WAIT = Duration.ofMillis(1_500);
+    private static final Duration WAIT = Duration.ofMillis(2_500);
 
     /** The pause after a failure in milliseconds; several calls fit into the time in which a change must be known. */
     private static final long RETRY_MILLIS = 250;
@@ -36,8 +37,8 @@
     /** The source of the present time. */
     private final TimeSource time;
 
-    /** The least time between two calls in milliseconds; 0 for none. */
-    private final long pauseMillis;
+    /** Tells the least time between two calls in milliseconds; 0 for none. */
+    private final LongSupplier pause;
 
     /** Receives what has changed. */
     private final Consumer<List<ChangeFeed.Change>> listener;
@@ -61,14 +62,14 @@
             EventLoop loop,
             EventLog events,
             TimeSource time,
-            Duration pause,
+            LongSupplier pause,
             Consumer<List<ChangeFeed.Change>> listener) {
         this.table = table;
         this.feed = feed;
         this.loop = loop;
         this.events = events;
         this.time = time;
-        this.pauseMillis = pause.toMillis();
+        this.pause = pause;
         this.listener = listener;
         returnedAt = time.nanos();
         answeredAt = returnedAt;
@@ -82,7 +83,7 @@
      * @param loop The event loop.
      * @param events The log.
      * @param time The source of the present time.
-     * @param pause The least time between two calls.
+     * @param pause Tells the least time between two calls in milliseconds; 0 for none.
      * @param listener Receives what has changed.
      * @return A follower.
      */
@@ -92,7 +93,7 @@
             EventLoop loop,
             EventLog events,
             TimeSource time,
-            Duration pause,
+            LongSupplier pause,
             Consumer<List<ChangeFeed.Change>> listener) {
         return new TableFollower(table, feed, loop, events, time, pause, listener);
     }
@@ -179,7 +180,7 @@
                 return;
             }
         }
-        next(pauseMillis);
+        next(pause.getAsLong());
     }
 
     /** Takes changes. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
@@ -286,9 +286,7 @@
         if (owner.startsWith(liveness.self().id().name() + "~")) {
             return true;
         }
-        boolean runs = liveness.running(now).stream()
-                .anyMatch(instance -> instance.id().toString().equals(owner));
-        if (runs || (!owner.isEmpty() && now - startedAt < SETTLE_NANOS)) {
+        if (liveness.runs(owner, now) || (!owner.isEmpty() && now - startedAt < SETTLE_NANOS)) {
             return false;
         }
         return Rendezvous.first(
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Gossip.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Gossip.java
@@ -76,6 +76,9 @@
     /** The instances that served at the last look. */
     private Set<InstanceId> seen = new HashSet<>();
 
+    /** Whether the last signs named an incarnation that this instance does not know. */
+    private boolean incomplete;
+
     /** The exchanges so far. */
     private int rounds;
 
@@ -198,7 +201,7 @@
         if (address.equals(liveness.self().peer())) {
             return;
         }
-        byte[] message = signs().toByteArray();
+        byte[] message = signs(false).toByteArray();
         link.call(address, PeerLink.ANY_INCARNATION, Channel.SIGNS, message, TIMEOUT)
                 .subscribe(result -> loop.execute(() -> {
                     if (result.isRight()) {
@@ -209,10 +212,17 @@
                 }));
     }
 
-    /** Returns what this instance knows. */
-    private Signs signs() {
-        Signs.Builder signs = Signs.newBuilder();
-        liveness.signs(time.nanos()).forEach(sign -> signs.addMembers(MemberCodec.toMessage(sign)));
+    /** Returns what this instance knows, in short for instances that others have known for a while. */
+    private Signs signs(boolean whole) {
+        Signs.Builder signs = Signs.newBuilder().setIncomplete(incomplete);
+        for (Liveness.Sign sign : liveness.signs(time.nanos())) {
+            if (whole || sign.news()) {
+                signs.addMembers(MemberCodec.toMessage(sign));
+            } else {
+                signs.addIncarnations(sign.instance().id().incarnation());
+                signs.addAgesMillis((int) TimeUnit.NANOSECONDS.toMillis(sign.ageNanos()));
+            }
+        }
         tables.forEach((name, follower) -> signs.addTables(TableMark.newBuilder()
                 .setTable(name)
                 .setRevision(follower.table().revision())));
@@ -221,8 +231,8 @@
 
     /** Answers the signs of another instance with own ones. */
     private Either<Failure, byte[]> answerSigns(byte[] request) {
-        byte[] answer = signs().toByteArray();
         Signs signs = parse(request);
+        byte[] answer = signs(signs.getIncomplete()).toByteArray();
         observe(signs);
         if (signs.getMembersCount() > 0) {
             MemberCodec.fromMessage(signs.getMembers(0))
@@ -243,6 +253,15 @@
         long now = time.nanos();
         signs.getMembersList()
                 .forEach(message -> MemberCodec.fromMessage(message).ifPresent(sign -> liveness.observe(sign, now)));
+        boolean complete = true;
+        int entries = Math.min(signs.getIncarnationsCount(), signs.getAgesMillisCount());
+        for (int index = 0; index < entries; index++) {
+            long age = TimeUnit.MILLISECONDS.toNanos(Integer.toUnsignedLong(signs.getAgesMillis(index)));
+            complete &= liveness.observe(signs.getIncarnations(index), age, now);
+        }
+        if (entries > 0 || signs.getMembersCount() > 1) {
+            incomplete = !complete;
+        }
     }
 
     /** Pulls the tables of which another instance has a newer copy, unless the store says it first. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Liveness.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Liveness.java
@@ -1,12 +1,18 @@
 package org.tanagermoor.gateway.member;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.tanagermoor.policy.fleet.InstanceId;
 import org.tanagermoor.policy.fleet.Rendezvous;
 
@@ -25,6 +31,9 @@
     /** The time after which a lost instance is no longer asked, in nanoseconds: longer than any cut to survive. */
     private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(60);
 
+    /** How long all that is known of an instance is passed on, in nanoseconds; afterwards its number is enough. */
+    private static final long NEWS_NANOS = TimeUnit.SECONDS.toNanos(4);
+
     /** The key by which the dispatcher is ranked. */
     private static final String DISPATCHER_KEY = "dispatcher";
 
@@ -37,15 +46,26 @@
     /** This instance. */
     private final Instance self;
 
+    /** The identity of this instance as a text. */
+    private final String selfText;
+
     /** The instances that were heard of, without this one. */
     private final Map<InstanceId, State> others = new HashMap<>();
 
+    /** The incarnations that were heard of, by their number. */
+    private final Map<Long, State> incarnations = new HashMap<>();
+
     /** Whether this instance leaves. */
     private boolean stopping;
 
+    /** What follows from the signs, or {@code null} if it is to be derived anew. */
+    @Nullable
+    private View view;
+
     /** Creates a view with this instance alone. */
     private Liveness(Instance self) {
         this.self = self;
+        selfText = self.id().toString();
     }
 
     /** Returns a view with this instance alone. */
@@ -61,6 +81,7 @@
     /** Notes that this instance leaves. */
     public void stop() {
         stopping = true;
+        view = null;
     }
 
     /** Returns whether this instance leaves. */
@@ -82,9 +103,46 @@
         if (now - heard > FORGET_NANOS) {
             return;
         }
-        State state = others.computeIfAbsent(sign.instance().id(), id -> new State(sign.instance(), heard));
-        state.heardAt = Math.max(state.heardAt, heard);
-        state.stopping |= sign.stopping();
+        State state = others.get(sign.instance().id());
+        if (state == null) {
+            state = new State(sign.instance(), heard, now);
+            others.put(sign.instance().id(), state);
+            incarnations.put(sign.instance().id().incarnation(), state);
+            view = null;
+        }
+        if (sign.stopping() && !state.stopping) {
+            state.stopping = true;
+            view = null;
+        }
+        hear(state, heard);
+    }
+
+    /**
+     * Takes in that a run of an instance was alive.
+     *
+     * @param incarnation The incarnation.
+     * @param ageNanos The time since it was last known to run, in nanoseconds.
+     * @param now The present monotonic time in nanoseconds.
+     * @return Whether the incarnation is known.
+     */
+    public boolean observe(long incarnation, long ageNanos, long now) {
+        State state = incarnations.get(incarnation);
+        if (state == null) {
+            return incarnation == self.id().incarnation() || ageNanos > SILENCE_NANOS;
+        }
+        hear(state, now - ageNanos);
+        return true;
+    }
+
+    /** Notes when an instance was alive. */
+    private void hear(State state, long heard) {
+        if (heard - state.heardAt > 0) {
+            state.heardAt = heard;
+            View known = view;
+            if (known != null && !known.steady.contains(state)) {
+                view = null;
+            }
+        }
     }
 
     /**
@@ -105,29 +163,55 @@
      */
     public List<Sign> signs(long now) {
         List<Sign> result = new ArrayList<>();
-        result.add(new Sign(self, 0, stopping));
-        others.values().removeIf(state -> now - state.heardAt > FORGET_NANOS);
+        result.add(new Sign(self, 0, stopping, true));
+        forget(now);
         for (State state : others.values()) {
             if (now - state.heardAt <= SILENCE_NANOS) {
-                result.add(new Sign(state.instance, now - state.heardAt, state.stopping));
+                boolean news = state.stopping || now - state.firstHeardAt <= NEWS_NANOS;
+                result.add(new Sign(state.instance, now - state.heardAt, state.stopping, news));
             }
         }
         return result;
     }
 
+    /** Forgets instances that have been silent for long. */
+    private void forget(long now) {
+        if (others.values().removeIf(state -> now - state.heardAt > FORGET_NANOS)) {
+            incarnations.values().retainAll(others.values());
+        }
+    }
+
     /**
-     * Returns whether an instance runs.
+     * Returns whether a run of an instance is alive.
      *
      * @param id The identity.
      * @param now The present monotonic time in nanoseconds.
      * @return Whether it was heard lately and no later run of it was.
      */
     public boolean runs(InstanceId id, long now) {
-        if (id.equals(self.id())) {
-            return true;
-        }
-        State state = others.get(id);
-        return state != null && now - state.heardAt <= SILENCE_NANOS && !replaced(state);
+        return runs(id.toString(), now);
+    }
+
+    /**
+     * Returns whether a run of an instance is alive.
+     *
+     * @param id The identity as a text.
+     * @param now The present monotonic time in nanoseconds.
+     * @return Whether it is this one, or was heard lately and no later run of it was.
+     */
+    public boolean runs(String id, long now) {
+        return id.equals(selfText) || view(now).running.containsKey(id);
+    }
+
+    /**
+     * Finds another instance that runs.
+     *
+     * @param id The identity as a text.
+     * @param now The present monotonic time in nanoseconds.
+     * @return The instance, if it runs and is not this one.
+     */
+    public Optional<Instance> running(String id, long now) {
+        return Optional.ofNullable(view(now).running.get(id));
     }
 
     /**
@@ -137,16 +221,7 @@
      * @return The instances.
      */
     public List<Instance> serving(long now) {
-        List<Instance> result = new ArrayList<>();
-        if (!stopping) {
-            result.add(self);
-        }
-        for (State state : others.values()) {
-            if (!state.stopping && runs(state.instance.id(), now)) {
-                result.add(state.instance);
-            }
-        }
-        return result;
+        return view(now).serving;
     }
 
     /**
@@ -155,11 +230,8 @@
      * @param now The present monotonic time in nanoseconds.
      * @return The instances.
      */
-    public List<Instance> running(long now) {
-        return others.values().stream()
-                .filter(state -> runs(state.instance.id(), now))
-                .map(state -> state.instance)
-                .toList();
+    public Collection<Instance> running(long now) {
+        return view(now).running.values();
     }
 
     /**
@@ -169,8 +241,9 @@
      * @return The instances.
      */
     public List<Instance> silent(long now) {
+        Map<String, State> newest = newest();
         return others.values().stream()
-                .filter(state -> now - state.heardAt > SILENCE_NANOS && !replaced(state))
+                .filter(state -> now - state.heardAt > SILENCE_NANOS && !replaced(state, newest))
                 .map(state -> state.instance)
                 .toList();
     }
@@ -184,7 +257,52 @@
      * @return The instance, this one if no other serves.
      */
     public Instance dispatcher(long now) {
-        List<Instance> serving = serving(now);
+        return view(now).dispatcher;
+    }
+
+    /** Returns what follows from the signs at a time. It stays true until one of them is too old. */
+    private View view(long now) {
+        View known = view;
+        if (known == null || now - known.until > 0) {
+            known = derive(now);
+            view = known;
+        }
+        return known;
+    }
+
+    /** Derives what follows from the signs at a time. */
+    private View derive(long now) {
+        Map<String, State> newest = newest();
+        Map<String, Instance> running = new LinkedHashMap<>();
+        List<Instance> serving = new ArrayList<>();
+        Set<State> steady = new HashSet<>();
+        long until = now + SILENCE_NANOS;
+        if (!stopping) {
+            serving.add(self);
+        }
+        for (State state : others.values()) {
+            if (now - state.heardAt > SILENCE_NANOS || replaced(state, newest)) {
+                continue;
+            }
+            running.put(state.instance.id().toString(), state.instance);
+            if (!state.stopping) {
+                serving.add(state.instance);
+            }
+            if (newest.get(state.instance.id().name()) == state) {
+                steady.add(state);
+            }
+            until = Math.min(until, state.heardAt + SILENCE_NANOS);
+        }
+        return new View(
+                List.copyOf(serving),
+                Collections.unmodifiableMap(running),
+                dispatcher(serving),
+                Collections.unmodifiableSet(steady),
+                until);
+    }
+
+    /** Returns the instance that dispatches, of those that serve. */
+    private Instance dispatcher(List<Instance> serving) {
         Optional<Rank> best = serving.stream().map(Rank::of).min(Rank.ORDER);
         List<Instance> first = serving.stream()
                 .filter(instance -> best.filter(Rank.of(instance)::equals).isPresent())
@@ -193,15 +311,21 @@
                 .orElse(self);
     }
 
+    /** Returns the run of each instance that was heard last. */
+    private Map<String, State> newest() {
+        Map<String, State> newest = new HashMap<>();
+        for (State state : others.values()) {
+            newest.merge(
+                    state.instance.id().name(), state, (left, right) -> right.heardAt > left.heardAt ? right : left);
+        }
+        return newest;
+    }
+
     /** Returns whether a later run of the same instance was heard after this one. */
-    private boolean replaced(State state) {
+    private boolean replaced(State state, Map<String, State> newest) {
         String name = state.instance.id().name();
-        if (name.equals(self.id().name())) {
-            return true;
-        }
-        return others.values().stream()
-                .anyMatch(other ->
-                        other != state && other.instance.id().name().equals(name) && other.heardAt > state.heardAt);
+        State last = newest.get(name);
+        return name.equals(self.id().name()) || (last != null && last != state && last.heardAt > state.heardAt);
     }
 
     /**
@@ -210,8 +334,31 @@
      * @param instance The instance.
      * @param ageNanos The time since it was last known to run, in nanoseconds.
      * @param stopping Whether it leaves.
+     * @param news Whether others may not know the instance yet, or that it leaves.
      */
-    public record Sign(Instance instance, long ageNanos, boolean stopping) {}
+    public record Sign(Instance instance, long ageNanos, boolean stopping, boolean news) {
+
+        /** Creates a sign that others may not know yet. */
+        public Sign(Instance instance, long ageNanos, boolean stopping) {
+            this(instance, ageNanos, stopping, true);
+        }
+    }
+
+    /**
+     * What follows from the signs.
+     *
+     * @param serving The instances that run and do not leave.
+     * @param running The other instances that run, by their identity as a text.
+     * @param dispatcher The instance that dispatches.
+     * @param steady The runs for which a later sign changes nothing but the time.
+     * @param until The monotonic time in nanoseconds until which this is true if no sign comes.
+     */
+    private record View(
+            List<Instance> serving,
+            Map<String, Instance> running,
+            Instance dispatcher,
+            Set<State> steady,
+            long until) {}
 
     /**
      * What ranks an instance as a dispatcher before the hash of its name.
@@ -244,10 +391,14 @@
         /** Whether it leaves. */
         private boolean stopping;
 
+        /** The monotonic time in nanoseconds at which this instance first heard of it. */
+        private final long firstHeardAt;
+
         /** Creates a state. */
-        State(Instance instance, long heardAt) {
+        State(Instance instance, long heardAt, long firstHeardAt) {
             this.instance = instance;
             this.heardAt = heardAt;
+            this.firstHeardAt = firstHeardAt;
         }
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
@@ -132,50 +132,52 @@
       "is\030\006 \001(\r\022\020\n\010stopping\030\007 \001(\010\022\026\n\016started_mi" +
       "llis\030\010 \001(\004\022\031\n\021processor_percent\030\t \001(\r\",\n" +
       "\tTableMark\022\r\n\005table\030\001 \001(\t\022\020\n\010revision\030\002 " +
-      "\001(\004\"i\n\005Signs\0220\n\007members\030\001 \003(\0132\037.tanagerm" +
-      "oor.gateway.MemberSign\022.\n\006tables\030\002 \003(\0132\036" +
-      ".tanagermoor.gateway.TableMark\",\n\tTableP" +
-      "ull\022\r\n\005table\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"7\n\010" +
-      "TableRow\022\013\n\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\r" +
-      "\n\005value\030\003 \001(\014\"Y\n\tTableCopy\022\r\n\005table\030\001 \001(" +
-      "\t\022\020\n\010revision\030\002 \001(\004\022+\n\004rows\030\003 \003(\0132\035.tana" +
-      "germoor.gateway.TableRow\"\254\001\n\nPermitCall\022" +
-      "+\n\003ask\030\001 \001(\0132\036.tanagermoor.gateway.Permi" +
-      "tAsk\0222\n\007returns\030\002 \003(\0132!.tanagermoor.gate" +
-      "way.PermitReturn\022\016\n\006resync\030\003 \001(\010\022-\n\004held" +
-      "\030\004 \003(\0132\037.tanagermoor.gateway.HeldPermit\"" +
-      "\277\001\n\tPermitAsk\022\016\n\006permit\030\001 \001(\004\022\017\n\007service" +
-      "\030\002 \001(\t\022\014\n\004team\030\003 \001(\t\022\016\n\006domain\030\004 \001(\t\022\022\n\n" +
-      "prompt_key\030\005 \001(\006\022\023\n\013wait_millis\030\006 \001(\r\022\026\n" +
-      "\016on_time_millis\030\007 \001(\r\022\r\n\005batch\030\010 \001(\010\022\020\n\010" +
-      "excluded\030\t \003(\t\022\021\n\treturning\030\n \001(\010\"\244\001\n\014Pe" +
-      "rmitReturn\022\016\n\006permit\030\001 \001(\004\022:\n\007outcome\030\002 " +
-      "\001(\0162).tanagermoor.gateway.PermitReturn.O" +
-      "utcome\"H\n\007Outcome\022\n\n\006UNUSED\020\000\022\n\n\006SERVED\020" +
-      "\001\022\017\n\013UNREACHABLE\020\002\022\010\n\004FULL\020\003\022\n\n\006FAILED\020\004" +
-      "\"L\n\nHeldPermit\022\016\n\006permit\030\001 \001(\004\022\017\n\007servic" +
-      "e\030\002 \001(\t\022\016\n\006target\030\003 \001(\t\022\r\n\005batch\030\004 \001(\010\"\314" +
-      "\001\n\014PermitAnswer\0224\n\004kind\030\001 \001(\0162&.tanagerm" +
-      "oor.gateway.PermitAnswer.Kind\022\016\n\006target\030" +
-      "\002 \001(\t\022\032\n\022retry_after_millis\030\003 \001(\r\"Z\n\004Kin" +
-      "d\022\010\n\004NONE\020\000\022\013\n\007GRANTED\020\001\022\020\n\014RATE_LIMITED" +
-      "\020\002\022\016\n\nOVERLOADED\020\003\022\r\n\tNO_TARGET\020\004\022\n\n\006RES" +
-      "YNC\020\005\"\037\n\014PermitRecall\022\017\n\007permits\030\001 \003(\004\")" +
-      "\n\nItemHeader\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(" +
-      "\t\"s\n\007JobItem\022\n\n\002id\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\0220" +
-      "\n\007headers\030\003 \003(\0132\037.tanagermoor.gateway.It" +
-      "emHeader\022\014\n\004body\030\004 \001(\014\022\016\n\006tokens\030\005 \001(\004\"9" +
-      "\n\nJobContent\022+\n\005items\030\001 \003(\0132\034.tanagermoo" +
-      "r.gateway.JobItem\"\256\001\n\006JobRow\022\n\n\002id\030\001 \001(\t" +
-      "\022\014\n\004team\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004path\030\004 \001" +
-      "(\t\022\027\n\017accepted_millis\030\005 \001(\004\022\r\n\005total\030\006 \001" +
-      "(\r\022\020\n\010recorded\030\007 \001(\r\022\r\n\005ended\030\010 \001(\010\022\026\n\016t" +
-      "okens_waiting\030\t \001(\004\022\r\n\005owner\030\n \001(\t\"=\n\nRe" +
-      "sultPart\022\014\n\004item\030\001 \001(\t\022\021\n\tcompleted\030\002 \001(" +
-      "\010\022\016\n\006output\030\003 \001(\014\"R\n\014ItemProgress\022\014\n\004ite" +
-      "m\030\001 \001(\t\022\022\n\nlast_event\030\002 \001(\004\022\016\n\006output\030\003 " +
-      "\001(\014\022\020\n\010failures\030\004 \001(\rB!\n\035org.tanagermoor" +
-      ".gateway.protoP\001b\006proto3"
+      "\001(\004\"\250\001\n\005Signs\0220\n\007members\030\001 \003(\0132\037.tanager" +
+      "moor.gateway.MemberSign\022.\n\006tables\030\002 \003(\0132" +
+      "\036.tanagermoor.gateway.TableMark\022\024\n\014incar" +
+      "nations\030\003 \003(\006\022\023\n\013ages_millis\030\004 \003(\r\022\022\n\nin" +
+      "complete\030\005 \001(\010\",\n\tTablePull\022\r\n\005table\030\001 \001" +
+      "(\t\022\020\n\010revision\030\002 \001(\004\"7\n\010TableRow\022\013\n\003key\030" +
+      "\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\r\n\005value\030\003 \001(\014\"Y\n" +
+      "\tTableCopy\022\r\n\005table\030\001 \001(\t\022\020\n\010revision\030\002 " +
+      "\001(\004\022+\n\004rows\030\003 \003(\0132\035.tanagermoor.gateway." +
+      "TableRow\"\254\001\n\nPermitCall\022+\n\003ask\030\001 \001(\0132\036.t" +
+      "anagermoor.gateway.PermitAsk\0222\n\007returns\030" +
+      "\002 \003(\0132!.tanagermoor.gateway.PermitReturn" +
+      "\022\016\n\006resync\030\003 \001(\010\022-\n\004held\030\004 \003(\0132\037.tanager" +
+      "moor.gateway.HeldPermit\"\277\001\n\tPermitAsk\022\016\n" +
+      "\006permit\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\014\n\004team\030\003" +
+      " \001(\t\022\016\n\006domain\030\004 \001(\t\022\022\n\nprompt_key\030\005 \001(\006" +
+      "\022\023\n\013wait_millis\030\006 \001(\r\022\026\n\016on_time_millis\030" +
+      "\007 \001(\r\022\r\n\005batch\030\010 \001(\010\022\020\n\010excluded\030\t \003(\t\022\021" +
+      "\n\treturning\030\n \001(\010\"\244\001\n\014PermitReturn\022\016\n\006pe" +
+      "rmit\030\001 \001(\004\022:\n\007outcome\030\002 \001(\0162).tanagermoo" +
+      "r.gateway.PermitReturn.Outcome\"H\n\007Outcom" +
+      "e\022\n\n\006UNUSED\020\000\022\n\n\006SERVED\020\001\022\017\n\013UNREACHABLE" +
+      "\020\002\022\010\n\004FULL\020\003\022\n\n\006FAILED\020\004\"L\n\nHeldPermit\022\016" +
+      "\n\006permit\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\016\n\006targe" +
+      "t\030\003 \001(\t\022\r\n\005batch\030\004 \001(\010\"\314\001\n\014PermitAnswer\022" +
+      "4\n\004kind\030\001 \001(\0162&.tanagermoor.gateway.Perm" +
+      "itAnswer.Kind\022\016\n\006target\030\002 \001(\t\022\032\n\022retry_a" +
+      "fter_millis\030\003 \001(\r\"Z\n\004Kind\022\010\n\004NONE\020\000\022\013\n\007G" +
+      "RANTED\020\001\022\020\n\014RATE_LIMITED\020\002\022\016\n\nOVERLOADED" +
+      "\020\003\022\r\n\tNO_TARGET\020\004\022\n\n\006RESYNC\020\005\"\037\n\014PermitR" +
+      "ecall\022\017\n\007permits\030\001 \003(\004\")\n\nItemHeader\022\014\n\004" +
+      "name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"s\n\007JobItem\022\n\n\002" +
+      "id\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\0220\n\007headers\030\003 \003(\0132" +
+      "\037.tanagermoor.gateway.ItemHeader\022\014\n\004body" +
+      "\030\004 \001(\014\022\016\n\006tokens\030\005 \001(\004\"9\n\nJobContent\022+\n\005" +
+      "items\030\001 \003(\0132\034.tanagermoor.gateway.JobIte" +
+      "m\"\256\001\n\006JobRow\022\n\n\002id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014" +
+      "\n\004host\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022\027\n\017accepted_m" +
+      "illis\030\005 \001(\004\022\r\n\005total\030\006 \001(\r\022\020\n\010recorded\030\007" +
+      " \001(\r\022\r\n\005ended\030\010 \001(\010\022\026\n\016tokens_waiting\030\t " +
+      "\001(\004\022\r\n\005owner\030\n \001(\t\"=\n\nResultPart\022\014\n\004item" +
+      "\030\001 \001(\t\022\021\n\tcompleted\030\002 \001(\010\022\016\n\006output\030\003 \001(" +
+      "\014\"R\n\014ItemProgress\022\014\n\004item\030\001 \001(\t\022\022\n\nlast_" +
+      "event\030\002 \001(\004\022\016\n\006output\030\003 \001(\014\022\020\n\010failures\030" +
+      "\004 \001(\rB!\n\035org.tanagermoor.gateway.protoP\001" +
+      "b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -198,7 +200,7 @@
     internal_static_tanagermoor_gateway_Signs_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_Signs_descriptor,
-        new java.lang.String[] { "Members", "Tables", });
+        new java.lang.String[] { "Members", "Tables", "Incarnations", "AgesMillis", "Incomplete", });
     internal_static_tanagermoor_gateway_TablePull_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_tanagermoor_gateway_TablePull_fieldAccessorTable = new
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Signs.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Signs.java
@@ -34,6 +34,8 @@
   private Signs() {
     members_ = java.util.Collections.emptyList();
     tables_ = java.util.Collections.emptyList();
+    incarnations_ = emptyLongList();
+    agesMillis_ = emptyIntList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -58,6 +60,10 @@
   @SuppressWarnings("serial")
   private java.util.List<org.tanagermoor.gateway.proto.MemberSign> members_;
   /**
+   * <pre>
+   * The sender first, then those that the receiver may not know.
+   * </pre>
+   *
    * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
    */
   @java.lang.Override
@@ -65,6 +71,10 @@
     return members_;
   }
   /**
+   * <pre>
+   * The sender first, then those that the receiver may not know.
+   * </pre>
+   *
    * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
    */
   @java.lang.Override
@@ -73,6 +83,10 @@
     return members_;
   }
   /**
+   * <pre>
+   * The sender first, then those that the receiver may not know.
+   * </pre>
+   *
    * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
    */
   @java.lang.Override
@@ -80,6 +94,10 @@
     return members_.size();
   }
   /**
+   * <pre>
+   * The sender first, then those that the receiver may not know.
+   * </pre>
+   *
    * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
    */
   @java.lang.Override
@@ -87,6 +105,10 @@
     return members_.get(index);
   }
   /**
+   * <pre>
+   * The sender first, then those that the receiver may not know.
+   * </pre>
+   *
    * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
    */
   @java.lang.Override
@@ -136,6 +158,93 @@
     return tables_.get(index);
   }
 
+  public static final int INCARNATIONS_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.LongList incarnations_ =
+      emptyLongList();
+  /**
+   * <pre>
+   * The incarnations of the others that run, and the time since each was last known to run, in milliseconds.
+   * </pre>
+   *
+   * <code>repeated fixed64 incarnations = 3;</code>
+   * @return A list containing the incarnations.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Long>
+      getIncarnationsList() {
+    return incarnations_;
+  }
+  /**
+   * <pre>
+   * The incarnations of the others that run, and the time since each was last known to run, in milliseconds.
+   * </pre>
+   *
+   * <code>repeated fixed64 incarnations = 3;</code>
+   * @return The count of incarnations.
+   */
+  public int getIncarnationsCount() {
+    return incarnations_.size();
+  }
+  /**
+   * <pre>
+   * The incarnations of the others that run, and the time since each was last known to run, in milliseconds.
+   * </pre>
+   *
+   * <code>repeated fixed64 incarnations = 3;</code>
+   * @param index The index of the element to return.
+   * @return The incarnations at the given index.
+   */
+  public long getIncarnations(int index) {
+    return incarnations_.getLong(index);
+  }
+  private int incarnationsMemoizedSerializedSize = -1;
+
+  public static final int AGES_MILLIS_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList agesMillis_ =
+      emptyIntList();
+  /**
+   * <code>repeated uint32 ages_millis = 4;</code>
+   * @return A list containing the agesMillis.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getAgesMillisList() {
+    return agesMillis_;
+  }
+  /**
+   * <code>repeated uint32 ages_millis = 4;</code>
+   * @return The count of agesMillis.
+   */
+  public int getAgesMillisCount() {
+    return agesMillis_.size();
+  }
+  /**
+   * <code>repeated uint32 ages_millis = 4;</code>
+   * @param index The index of the element to return.
+   * @return The agesMillis at the given index.
+   */
+  public int getAgesMillis(int index) {
+    return agesMillis_.getInt(index);
+  }
+  private int agesMillisMemoizedSerializedSize = -1;
+
+  public static final int INCOMPLETE_FIELD_NUMBER = 5;
+  private boolean incomplete_ = false;
+  /**
+   * <pre>
+   * Whether the sender lacks what belongs to an incarnation, so that the receiver is to send all.
+   * </pre>
+   *
+   * <code>bool incomplete = 5;</code>
+   * @return The incomplete.
+   */
+  @java.lang.Override
+  public boolean getIncomplete() {
+    return incomplete_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -150,12 +259,30 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    getSerializedSize();
     for (int i = 0; i < members_.size(); i++) {
       output.writeMessage(1, members_.get(i));
     }
     for (int i = 0; i < tables_.size(); i++) {
       output.writeMessage(2, tables_.get(i));
     }
+    if (getIncarnationsList().size() > 0) {
+      output.writeUInt32NoTag(26);
+      output.writeUInt32NoTag(incarnationsMemoizedSerializedSize);
+    }
+    for (int i = 0; i < incarnations_.size(); i++) {
+      output.writeFixed64NoTag(incarnations_.getLong(i));
+    }
+    if (getAgesMillisList().size() > 0) {
+      output.writeUInt32NoTag(34);
+      output.writeUInt32NoTag(agesMillisMemoizedSerializedSize);
+    }
+    for (int i = 0; i < agesMillis_.size(); i++) {
+      output.writeUInt32NoTag(agesMillis_.getInt(i));
+    }
+    if (incomplete_ != false) {
+      output.writeBool(5, incomplete_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -178,6 +305,35 @@
           }
           size += 1 * count;
         }
+    {
+      int dataSize = 0;
+      dataSize = 8 * getIncarnationsList().size();
+      size += dataSize;
+      if (!getIncarnationsList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      incarnationsMemoizedSerializedSize = dataSize;
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < agesMillis_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeUInt32SizeNoTag(agesMillis_.getInt(i));
+      }
+      size += dataSize;
+      if (!getAgesMillisList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      agesMillisMemoizedSerializedSize = dataSize;
+    }
+    if (incomplete_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, incomplete_);
+    }
     return size;
   }
   @java.lang.Override
@@ -206,6 +362,12 @@
         .equals(other.getMembersList())) return false;
     if (!getTablesList()
         .equals(other.getTablesList())) return false;
+    if (!getIncarnationsList()
+        .equals(other.getIncarnationsList())) return false;
+    if (!getAgesMillisList()
+        .equals(other.getAgesMillisList())) return false;
+    if (getIncomplete()
+        != other.getIncomplete()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -225,6 +387,17 @@
       hash = (37 * hash) + TABLES_FIELD_NUMBER;
       hash = (53 * hash) + getTablesList().hashCode();
     }
+    if (getIncarnationsCount() > 0) {
+      hash = (37 * hash) + INCARNATIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getIncarnationsList().hashCode();
+    }
+    if (getAgesMillisCount() > 0) {
+      hash = (37 * hash) + AGES_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getAgesMillisList().hashCode();
+    }
+    hash = (37 * hash) + INCOMPLETE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getIncomplete());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -374,6 +547,9 @@
         tablesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      incarnations_ = emptyLongList();
+      agesMillis_ = emptyIntList();
+      incomplete_ = false;
       return this;
     }
 
@@ -429,6 +605,17 @@
 
     private void buildPartial0(org.tanagermoor.gateway.proto.Signs result) {
       int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        incarnations_.makeImmutable();
+        result.incarnations_ = incarnations_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        agesMillis_.makeImmutable();
+        result.agesMillis_ = agesMillis_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.incomplete_ = incomplete_;
+      }
     }
 
     @java.lang.Override
@@ -495,6 +682,31 @@
           }
         }
       }
+      if (!other.incarnations_.isEmpty()) {
+        if (incarnations_.isEmpty()) {
+          incarnations_ = other.incarnations_;
+          incarnations_.makeImmutable();
+          bitField0_ |= 0x00000004;
+        } else {
+          ensureIncarnationsIsMutable();
+          incarnations_.addAll(other.incarnations_);
+        }
+        onChanged();
+      }
+      if (!other.agesMillis_.isEmpty()) {
+        if (agesMillis_.isEmpty()) {
+          agesMillis_ = other.agesMillis_;
+          agesMillis_.makeImmutable();
+          bitField0_ |= 0x00000008;
+        } else {
+          ensureAgesMillisIsMutable();
+          agesMillis_.addAll(other.agesMillis_);
+        }
+        onChanged();
+      }
+      if (other.getIncomplete() != false) {
+        setIncomplete(other.getIncomplete());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -545,6 +757,44 @@
               }
               break;
             } // case 18
+            case 25: {
+              long v = input.readFixed64();
+              ensureIncarnationsIsMutable();
+              incarnations_.addLong(v);
+              break;
+            } // case 25
+            case 26: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              int alloc = length > 4096 ? 4096 : length;
+              ensureIncarnationsIsMutable(alloc / 8);
+              while (input.getBytesUntilLimit() > 0) {
+                incarnations_.addLong(input.readFixed64());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 26
+            case 32: {
+              int v = input.readUInt32();
+              ensureAgesMillisIsMutable();
+              agesMillis_.addInt(v);
+              break;
+            } // case 32
+            case 34: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureAgesMillisIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                agesMillis_.addInt(input.readUInt32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 34
+            case 40: {
+              incomplete_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -575,6 +825,10 @@
         org.tanagermoor.gateway.proto.MemberSign, org.tanagermoor.gateway.proto.MemberSign.Builder, org.tanagermoor.gateway.proto.MemberSignOrBuilder> membersBuilder_;
 
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public java.util.List<org.tanagermoor.gateway.proto.MemberSign> getMembersList() {
@@ -585,6 +839,10 @@
       }
     }
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public int getMembersCount() {
@@ -595,6 +853,10 @@
       }
     }
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public org.tanagermoor.gateway.proto.MemberSign getMembers(int index) {
@@ -605,6 +867,10 @@
       }
     }
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public Builder setMembers(
@@ -620,6 +886,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public Builder setMembers(
@@ -634,6 +904,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public Builder addMembers(org.tanagermoor.gateway.proto.MemberSign value) {
@@ -648,6 +922,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public Builder addMembers(
@@ -663,6 +941,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public Builder addMembers(
@@ -677,6 +959,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public Builder addMembers(
@@ -691,6 +977,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public Builder addAllMembers(
@@ -706,6 +996,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public Builder clearMembers() {
@@ -719,6 +1013,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public Builder removeMembers(int index) {
@@ -732,6 +1030,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public org.tanagermoor.gateway.proto.MemberSign.Builder getMembersBuilder(
@@ -739,6 +1041,10 @@
       return internalGetMembersFieldBuilder().getBuilder(index);
     }
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public org.tanagermoor.gateway.proto.MemberSignOrBuilder getMembersOrBuilder(
@@ -749,6 +1055,10 @@
       }
     }
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public java.util.List<? extends org.tanagermoor.gateway.proto.MemberSignOrBuilder> 
@@ -760,6 +1070,10 @@
       }
     }
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public org.tanagermoor.gateway.proto.MemberSign.Builder addMembersBuilder() {
@@ -767,6 +1081,10 @@
           org.tanagermoor.gateway.proto.MemberSign.getDefaultInstance());
     }
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public org.tanagermoor.gateway.proto.MemberSign.Builder addMembersBuilder(
@@ -775,6 +1093,10 @@
           index, org.tanagermoor.gateway.proto.MemberSign.getDefaultInstance());
     }
     /**
+     * <pre>
+     * The sender first, then those that the receiver may not know.
+     * </pre>
+     *
      * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
      */
     public java.util.List<org.tanagermoor.gateway.proto.MemberSign.Builder> 
@@ -1030,6 +1352,252 @@
       return tablesBuilder_;
     }
 
+    private com.google.protobuf.Internal.LongList incarnations_ = emptyLongList();
+    private void ensureIncarnationsIsMutable() {
+      if (!incarnations_.isModifiable()) {
+        incarnations_ = makeMutableCopy(incarnations_);
+      }
+      bitField0_ |= 0x00000004;
+    }
+    private void ensureIncarnationsIsMutable(int capacity) {
+      if (!incarnations_.isModifiable()) {
+        incarnations_ = makeMutableCopy(incarnations_, capacity);
+      }
+      bitField0_ |= 0x00000004;
+    }
+    /**
+     * <pre>
+     * The incarnations of the others that run, and the time since each was last known to run, in milliseconds.
+     * </pre>
+     *
+     * <code>repeated fixed64 incarnations = 3;</code>
+     * @return A list containing the incarnations.
+     */
+    public java.util.List<java.lang.Long>
+        getIncarnationsList() {
+      incarnations_.makeImmutable();
+      return incarnations_;
+    }
+    /**
+     * <pre>
+     * The incarnations of the others that run, and the time since each was last known to run, in milliseconds.
+     * </pre>
+     *
+     * <code>repeated fixed64 incarnations = 3;</code>
+     * @return The count of incarnations.
+     */
+    public int getIncarnationsCount() {
+      return incarnations_.size();
+    }
+    /**
+     * <pre>
+     * The incarnations of the others that run, and the time since each was last known to run, in milliseconds.
+     * </pre>
+     *
+     * <code>repeated fixed64 incarnations = 3;</code>
+     * @param index The index of the element to return.
+     * @return The incarnations at the given index.
+     */
+    public long getIncarnations(int index) {
+      return incarnations_.getLong(index);
+    }
+    /**
+     * <pre>
+     * The incarnations of the others that run, and the time since each was last known to run, in milliseconds.
+     * </pre>
+     *
+     * <code>repeated fixed64 incarnations = 3;</code>
+     * @param index The index to set the value at.
+     * @param value The incarnations to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnations(
+        int index, long value) {
+
+      ensureIncarnationsIsMutable();
+      incarnations_.setLong(index, value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The incarnations of the others that run, and the time since each was last known to run, in milliseconds.
+     * </pre>
+     *
+     * <code>repeated fixed64 incarnations = 3;</code>
+     * @param value The incarnations to add.
+     * @return This builder for chaining.
+     */
+    public Builder addIncarnations(long value) {
+
+      ensureIncarnationsIsMutable();
+      incarnations_.addLong(value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The incarnations of the others that run, and the time since each was last known to run, in milliseconds.
+     * </pre>
+     *
+     * <code>repeated fixed64 incarnations = 3;</code>
+     * @param values The incarnations to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllIncarnations(
+        java.lang.Iterable<? extends java.lang.Long> values) {
+      ensureIncarnationsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, incarnations_);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The incarnations of the others that run, and the time since each was last known to run, in milliseconds.
+     * </pre>
+     *
+     * <code>repeated fixed64 incarnations = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIncarnations() {
+      incarnations_ = emptyLongList();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.Internal.IntList agesMillis_ = emptyIntList();
+    private void ensureAgesMillisIsMutable() {
+      if (!agesMillis_.isModifiable()) {
+        agesMillis_ = makeMutableCopy(agesMillis_);
+      }
+      bitField0_ |= 0x00000008;
+    }
+    /**
+     * <code>repeated uint32 ages_millis = 4;</code>
+     * @return A list containing the agesMillis.
+     */
+    public java.util.List<java.lang.Integer>
+        getAgesMillisList() {
+      agesMillis_.makeImmutable();
+      return agesMillis_;
+    }
+    /**
+     * <code>repeated uint32 ages_millis = 4;</code>
+     * @return The count of agesMillis.
+     */
+    public int getAgesMillisCount() {
+      return agesMillis_.size();
+    }
+    /**
+     * <code>repeated uint32 ages_millis = 4;</code>
+     * @param index The index of the element to return.
+     * @return The agesMillis at the given index.
+     */
+    public int getAgesMillis(int index) {
+      return agesMillis_.getInt(index);
+    }
+    /**
+     * <code>repeated uint32 ages_millis = 4;</code>
+     * @param index The index to set the value at.
+     * @param value The agesMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgesMillis(
+        int index, int value) {
+
+      ensureAgesMillisIsMutable();
+      agesMillis_.setInt(index, value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint32 ages_millis = 4;</code>
+     * @param value The agesMillis to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAgesMillis(int value) {
+
+      ensureAgesMillisIsMutable();
+      agesMillis_.addInt(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint32 ages_millis = 4;</code>
+     * @param values The agesMillis to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllAgesMillis(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureAgesMillisIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, agesMillis_);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint32 ages_millis = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAgesMillis() {
+      agesMillis_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+
+    private boolean incomplete_ ;
+    /**
+     * <pre>
+     * Whether the sender lacks what belongs to an incarnation, so that the receiver is to send all.
+     * </pre>
+     *
+     * <code>bool incomplete = 5;</code>
+     * @return The incomplete.
+     */
+    @java.lang.Override
+    public boolean getIncomplete() {
+      return incomplete_;
+    }
+    /**
+     * <pre>
+     * Whether the sender lacks what belongs to an incarnation, so that the receiver is to send all.
+     * </pre>
+     *
+     * <code>bool incomplete = 5;</code>
+     * @param value The incomplete to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncomplete(boolean value) {
+
+      incomplete_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the sender lacks what belongs to an incarnation, so that the receiver is to send all.
+     * </pre>
+     *
+     * <code>bool incomplete = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIncomplete() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      incomplete_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.Signs)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/SignsOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/SignsOrBuilder.java
@@ -11,24 +11,44 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
+   * <pre>
+   * The sender first, then those that the receiver may not know.
+   * </pre>
+   *
    * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
    */
   java.util.List<org.tanagermoor.gateway.proto.MemberSign> 
       getMembersList();
   /**
+   * <pre>
+   * The sender first, then those that the receiver may not know.
+   * </pre>
+   *
    * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
    */
   org.tanagermoor.gateway.proto.MemberSign getMembers(int index);
   /**
+   * <pre>
+   * The sender first, then those that the receiver may not know.
+   * </pre>
+   *
    * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
    */
   int getMembersCount();
   /**
+   * <pre>
+   * The sender first, then those that the receiver may not know.
+   * </pre>
+   *
    * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
    */
   java.util.List<? extends org.tanagermoor.gateway.proto.MemberSignOrBuilder> 
       getMembersOrBuilderList();
   /**
+   * <pre>
+   * The sender first, then those that the receiver may not know.
+   * </pre>
+   *
    * <code>repeated .tanagermoor.gateway.MemberSign members = 1;</code>
    */
   org.tanagermoor.gateway.proto.MemberSignOrBuilder getMembersOrBuilder(
@@ -57,4 +77,60 @@
    */
   org.tanagermoor.gateway.proto.TableMarkOrBuilder getTablesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The incarnations of the others that run, and the time since each was last known to run, in milliseconds.
+   * </pre>
+   *
+   * <code>repeated fixed64 incarnations = 3;</code>
+   * @return A list containing the incarnations.
+   */
+  java.util.List<java.lang.Long> getIncarnationsList();
+  /**
+   * <pre>
+   * The incarnations of the others that run, and the time since each was last known to run, in milliseconds.
+   * </pre>
+   *
+   * <code>repeated fixed64 incarnations = 3;</code>
+   * @return The count of incarnations.
+   */
+  int getIncarnationsCount();
+  /**
+   * <pre>
+   * The incarnations of the others that run, and the time since each was last known to run, in milliseconds.
+   * </pre>
+   *
+   * <code>repeated fixed64 incarnations = 3;</code>
+   * @param index The index of the element to return.
+   * @return The incarnations at the given index.
+   */
+  long getIncarnations(int index);
+
+  /**
+   * <code>repeated uint32 ages_millis = 4;</code>
+   * @return A list containing the agesMillis.
+   */
+  java.util.List<java.lang.Integer> getAgesMillisList();
+  /**
+   * <code>repeated uint32 ages_millis = 4;</code>
+   * @return The count of agesMillis.
+   */
+  int getAgesMillisCount();
+  /**
+   * <code>repeated uint32 ages_millis = 4;</code>
+   * @param index The index of the element to return.
+   * @return The agesMillis at the given index.
+   */
+  int getAgesMillis(int index);
+
+  /**
+   * <pre>
+   * Whether the sender lacks what belongs to an incarnation, so that the receiver is to send all.
+   * </pre>
+   *
+   * <code>bool incomplete = 5;</code>
+   * @return The incomplete.
+   */
+  boolean getIncomplete();
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/member/LivenessTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/member/LivenessTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -95,6 +96,33 @@
         }
     }
 
+    /** A number alone keeps a known instance alive, and one that is not known asks for all that belongs to it. */
+    @Test
+    void takesInShortSigns() {
+        liveness.observe(new Liveness.Sign(instance("b", 7), 0, false), now);
+        now += millis(3_000);
+        assertThat(liveness.observe(7, millis(100), now), is(true));
+        assertThat(liveness.observe(8, millis(100), now), is(false));
+        now += millis(3_000);
+        assertThat(names(liveness.serving(now)), containsInAnyOrder("a", "b"));
+        now += millis(1_000);
+        assertThat(names(liveness.serving(now)), contains("a"));
+        assertThat(liveness.observe(7, 0, now), is(true));
+        assertThat(names(liveness.serving(now)), containsInAnyOrder("a", "b"));
+    }
+
+    /** All that is known of an instance is passed on at first, and again when it leaves. */
+    @Test
+    void tellsNewsInFull() {
+        liveness.observe(new Liveness.Sign(instance("b", 7), 0, false), now);
+        assertThat(liveness.signs(now).get(1).news(), is(true));
+        now += millis(5_000);
+        liveness.observe(7, 0, now);
+        assertThat(liveness.signs(now).get(1).news(), is(false));
+        liveness.observe(new Liveness.Sign(instance("b", 7), 0, true), now);
+        assertThat(liveness.signs(now).get(1).news(), is(true));
+    }
+
     /** A restart does not make an instance the dispatcher again, and a weak machine dispatches only if no other serves. */
     @ParameterizedTest
     @CsvSource({"0, 1.5, 20000, 1.5, a", "20000, 1.5, 0, 1.5, b", "0, 0.36, 20000, 1.5, b", "0, 0.36, 20000, 0.36, a"})
@@ -117,7 +145,7 @@
     }
 
     /** Returns names. */
-    private static List<String> names(List<Instance> instances) {
+    private static List<String> names(Collection<Instance> instances) {
         return instances.stream().map(instance -> instance.id().name()).toList();
     }
 
