--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/follow/TableFollower.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/follow/TableFollower.java
@@ -19,9 +19,12 @@
     /** The longest wait of one call; bounds how long a connection that went silent is not noticed. */
     private static final Duration WAIT = Duration.ofMillis(2_500);
 
-    /** The pause after a failure in milliseconds; several calls fit into the time in which a change must be known. */
+    /** The pause after a first failure in milliseconds; several calls fit into the time to learn of a change. */
     private static final long RETRY_MILLIS = 250;
 
+    /** The longest pause after several failures in milliseconds: within the time to follow again after an outage. */
+    private static final long RETRY_MILLIS_MOST = 1_000;
+
     /** The copy. */
     private final FollowedTable table;
 
@@ -46,6 +49,9 @@
     /** Whether the last call failed. */
     private boolean away;
 
+    /** The pause after the next failure in milliseconds. */
+    private long retryMillis = RETRY_MILLIS;
+
     /** The monotonic time in nanoseconds at which the store answered again after a failure. */
     private long returnedAt;
 
@@ -166,6 +172,7 @@
         }
         long now = time.nanos();
         answeredAt = now;
+        retryMillis = RETRY_MILLIS;
         if (away) {
             away = false;
             returnedAt = now;
@@ -203,7 +210,8 @@
             events.record(
                     GatewayEvent.STORE_LOST, "table", table.name(), "revision", table.revision(), "failure", failure);
         }
-        next(RETRY_MILLIS);
+        next(retryMillis);
+        retryMillis = Math.min(RETRY_MILLIS_MOST, 2 * retryMillis);
     }
 
     /** Makes the next call after a pause. */
