--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Gossip.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Gossip.java
@@ -38,7 +38,7 @@
 public final class Gossip {
 
     /** The interval between two exchanges in milliseconds: a sign reaches 90 instances within four or five. */
-    private static final long INTERVAL_MILLIS = 400;
+    private static final long INTERVAL_MILLIS = 600;
 
     /** The exchanges after which an instance that is silent, or an address from the settings, is tried. */
     private static final int SILENT_EVERY = 4;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Liveness.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Liveness.java
@@ -24,9 +24,9 @@
 
     /**
      * The silence after which an instance counts as lost, in nanoseconds. The directory must have dropped a lost
-     * instance 6 s after its end on the smallest bounds; a sign takes about 2 s to reach everybody.
+     * instance 6 s after its end on the smallest bounds; a sign takes up to 4 s to reach the last of 90 instances.
      */
-    static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(3_500);
+    static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(4_600);
 
     /** The time after which a lost instance is no longer asked, in nanoseconds: longer than any cut to survive. */
     private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(60);
