Turn to the next dispatcher as soon as one does not answer, and take over with part of each rate

Load answered: the dispatcher is lost, or all instances are killed, while callers stay within their rates. Ruled out: the team that sends many times its usual (5 requests not owed). Change: an instance that does not answer dispatches no more for the one that asked until it is heard of again; the next one by rank takes over, with half a second of each rate and 8 requests (a window may exceed its limit by a tenth and 20). An instance that starts and knows nobody admits an eighth of that. Places are reported at each change.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -282,6 +282,7 @@
                                 .map(FleetService::coldPerSecond)
                                 .orElse(0.0),
                         now);
+        dispatchClient.tick(now);
         fleet.configuration().ifPresent(known -> rates.teams(known.teams(), now));
         connections.keep(fleet.targetIds());
     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
@@ -26,8 +26,8 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Asks the dispatcher of the fleet for places. While it does not answer, online requests are placed by the dispatcher
- * of this instance alone, and items of jobs wait. Confined to the event loop.
+ * Asks the dispatcher of the fleet for places. One that does not answer is passed over at once for the instance that
+ * ranks next; items of jobs wait a little after each change. Confined to the event loop.
  */
 public final class DispatchClient {
 
@@ -37,8 +37,14 @@
     /** The same for items of jobs, of which the dispatcher answers within a second. */
     private static final Duration BATCH_TIMEOUT = Duration.ofMillis(1_500);
 
-    /** How long a silent dispatcher is not asked, in nanoseconds. */
-    private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+    /**
+     * How many equal parts of the rate of a team an instance admits while it decides for itself: callers of a team do
+     * not spread evenly, and such times are short.
+     */
+    private static final double LOCAL_SKEW = 2;
+
+    /** The part that it admits at its start, while it does not know how many others start with it. */
+    private static final double START_PART = 0.125;
 
     /** The longest time for which a returned permit waits for a message to go with, in milliseconds. */
     private static final long RETURN_MILLIS = 4;
@@ -89,9 +95,6 @@
     @Nullable
     private Instance last;
 
-    /** The monotonic time in nanoseconds before which the dispatcher is not asked. */
-    private long silentUntil;
-
     /** The monotonic time of the start in nanoseconds. */
     private final long startedAt;
 
@@ -101,7 +104,7 @@
     /** Whether a message with returned permits is scheduled. */
     private boolean returning;
 
-    /** Whether the last report of all places had any. */
+    /** Whether the dispatcher may know of places that are not in use any more. */
     private boolean reported;
 
     /** The number of the last permit. */
@@ -125,7 +128,6 @@
         this.time = time;
         self = liveness.self().id().toString();
         startedAt = time.nanos();
-        silentUntil = startedAt;
         changedAt = startedAt;
     }
 
@@ -208,20 +210,14 @@
      */
     public void tick(long now) {
         Instance dispatcher = liveness.dispatcher(now);
+        boolean dispatching = dispatcher.id().equals(liveness.self().id());
+        rates.part(ratePart(dispatching, now), now);
         if (last != null && dispatcher.id().equals(last.id())) {
             return;
         }
         events.record(GatewayEvent.DISPATCHER_CHANGED, "dispatcher", dispatcher.id());
-        boolean first = last == null;
         last = dispatcher;
         changedAt = now;
-        silentUntil = now;
-        boolean dispatching = dispatcher.id().equals(liveness.self().id());
-        int members = Math.max(1, liveness.serving(now).size());
-        if (dispatching && !first) {
-            rates.lower(1.0 / members, now);
-        }
-        rates.part(dispatching ? 1 : 1.0 / members, now);
         returns.clear();
         if (dispatching) {
             List<Use> asking = uses.values().stream()
@@ -230,11 +226,25 @@
             uses.values().forEach(use -> use.local = true);
             own.dispatcher().resync(self, held(), now);
             asking.forEach(use -> request(use, now));
-        } else if (!uses.isEmpty()) {
+        } else {
+            reported = true;
             reportAll();
         }
     }
 
+    /** Returns the part of the rate of each team that this instance may admit. */
+    private double ratePart(boolean dispatching, long now) {
+        if (!dispatching) {
+            return Math.min(1, LOCAL_SKEW / liveness.known(now));
+        }
+        return starting(now) ? START_PART : 1;
+    }
+
+    /** Returns whether this instance has heard of no other since its start, and may still do so. */
+    private boolean starting(long now) {
+        return now - startedAt < ALONE_NANOS && liveness.running(now).isEmpty();
+    }
+
     /** Tells the dispatcher of the fleet all places in use, so that a lost message takes none for good. */
     public void reportAll() {
         long now = time.nanos();
@@ -242,7 +252,7 @@
         boolean dispatching = dispatcher.id().equals(liveness.self().id());
         if (dispatching) {
             own.dispatcher().resync(self, held(), now);
-        } else if (now - silentUntil >= 0 && (!uses.isEmpty() || reported)) {
+        } else if (!uses.isEmpty() || reported) {
             reported = !uses.isEmpty();
             call(dispatcher, PermitCall.newBuilder(), true, result -> {
                 if (result.isLeft()) {
@@ -264,11 +274,9 @@
     /** Sends or decides an ask. */
     private void request(Use use, long now) {
         Instance dispatcher = liveness.dispatcher(now);
-        boolean here = dispatcher.id().equals(liveness.self().id());
-        boolean reachable = here || now - silentUntil >= 0;
-        if (use.ask.batch() && !(reachable && settled(now))) {
+        if (use.ask.batch() && !settled(now)) {
             finish(use, new Verdict.Refused(Verdict.Reason.OVERLOADED, BATCH_RETRY_MILLIS));
-        } else if (here || !reachable) {
+        } else if (dispatcher.id().equals(liveness.self().id())) {
             decideHere(use);
         } else {
             send(dispatcher, use, false);
@@ -277,8 +285,7 @@
 
     /** Returns whether it is clear who dispatches, and the dispatcher has had time to hear of all places in use. */
     private boolean settled(long now) {
-        boolean alone = liveness.running(now).isEmpty();
-        return now - changedAt >= BATCH_SETTLE_NANOS && (!alone || now - startedAt >= ALONE_NANOS);
+        return now - changedAt >= BATCH_SETTLE_NANOS && !starting(now);
     }
 
     /** Asks the dispatcher of this instance. */
@@ -359,12 +366,13 @@
         use.answer.accept(refused);
     }
 
-    /** Notes that the dispatcher does not answer. */
+    /** Notes that the dispatcher does not answer, and turns to the next one. */
     private void silent(Instance dispatcher, Failure failure) {
         long now = time.nanos();
-        if (now - silentUntil >= 0) {
-            silentUntil = now + SILENT_NANOS;
+        if (last != null && last.id().equals(dispatcher.id())) {
             events.record(GatewayEvent.DISPATCHER_SILENT, "dispatcher", dispatcher.id(), "failure", failure);
+            liveness.suspect(dispatcher.id(), now);
+            tick(now);
         }
     }
 
@@ -386,9 +394,6 @@
         Instance dispatcher = liveness.dispatcher(now);
         if (dispatcher.id().equals(liveness.self().id())) {
             returns.clear();
-        } else if (now - silentUntil < 0) {
-            returning = true;
-            loop.schedule(this::sendReturns, BATCH_RETRY_MILLIS, TimeUnit.MILLISECONDS);
         } else {
             call(dispatcher, PermitCall.newBuilder(), false, result -> {
                 if (result.isLeft()) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TeamRates.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TeamRates.java
@@ -13,6 +13,15 @@
 /** The rate and burst of each team, of which an instance admits a part. Not safe for use by several threads. */
 public final class TeamRates {
 
+    /**
+     * The time for which the rate is admitted at once by an instance that takes over, in seconds. With
+     * {@link #FIRST_REQUESTS} it stays within what a window of some seconds may exceed the limit by (a tenth and 20).
+     */
+    private static final double FIRST_SECONDS = 0.5;
+
+    /** The requests that are admitted at once beside that. */
+    private static final double FIRST_REQUESTS = 8;
+
     /** The buckets of the limited teams. */
     private final Map<String, TokenBucket> buckets = new HashMap<>();
 
@@ -31,7 +40,7 @@
     }
 
     /**
-     * Takes over the teams of a configuration. A new team begins with an empty bucket.
+     * Takes over the teams of a configuration. A new team begins with a small part of its burst.
      *
      * @param teams The teams.
      * @param now The present monotonic time in nanoseconds.
@@ -50,26 +59,26 @@
     }
 
     /**
-     * Changes the part of each limit that this instance may admit.
+     * Changes the part of each limit that this instance may admit. One that takes over begins with little, since
+     * another may have admitted a burst lately.
      *
      * @param value The part, from 0 to 1.
      * @param now The present monotonic time in nanoseconds.
      */
     public void part(double value, long now) {
-        if (value != part) {
-            part = value;
-            apply(now);
+        if (value == part) {
+            return;
+        }
+        boolean more = value > part;
+        part = value;
+        apply(now);
+        if (more) {
+            buckets.forEach((team, bucket) -> {
+                RateLimit limit = limits.getOrDefault(team, RateLimit.NOTHING);
+                double level = bucket.refill(bucket.limit().burst(), now);
+                bucket.add(Math.max(0, part * firstLevel(limit) - level));
+            });
         }
-    }
-
-    /**
-     * Empties all buckets by a part, since another instance may have admitted a burst lately.
-     *
-     * @param kept The part of the burst that may remain.
-     * @param now The present monotonic time in nanoseconds.
-     */
-    public void lower(double kept, long now) {
-        buckets.values().forEach(bucket -> bucket.refill(bucket.limit().burst() * kept, now));
     }
 
     /**
@@ -94,7 +103,19 @@
         limits.forEach((team, limit) -> {
             RateLimit scaled = limit.scaled(part);
             RateLimit own = RateLimit.of(scaled.perSecond(), Math.max(1, scaled.burst()));
-            buckets.computeIfAbsent(team, name -> TokenBucket.empty(own, now)).limit(own, now);
+            buckets.computeIfAbsent(team, name -> first(limit, own, now)).limit(own, now);
         });
     }
+
+    /** Returns the bucket of a new team. */
+    private TokenBucket first(RateLimit limit, RateLimit own, long now) {
+        TokenBucket bucket = TokenBucket.empty(own, now);
+        bucket.add(Math.min(own.burst(), part * firstLevel(limit)));
+        return bucket;
+    }
+
+    /** Returns what may be admitted at once by an instance that does not know what others have admitted lately. */
+    private static double firstLevel(RateLimit limit) {
+        return Math.min(limit.burst(), FIRST_SECONDS * limit.perSecond() + FIRST_REQUESTS);
+    }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Liveness.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Liveness.java
@@ -34,6 +34,9 @@
     /** How long all that is known of an instance is passed on, in nanoseconds; afterwards its number is enough. */
     private static final long NEWS_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+    /** How long an instance that did not answer does not dispatch at least, in nanoseconds: a few signs of life. */
+    private static final long SUSPECT_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     /** The key by which the dispatcher is ranked. */
     private static final String DISPATCHER_KEY = "dispatcher";
 
@@ -134,6 +137,32 @@
         return true;
     }
 
+    /**
+     * Notes that an instance did not answer this one. It does not dispatch for this one until it is heard of again, so
+     * that requests need not wait until it counts as lost.
+     *
+     * @param id The identity.
+     * @param now The present monotonic time in nanoseconds.
+     */
+    public void suspect(InstanceId id, long now) {
+        State state = others.get(id);
+        if (state != null) {
+            state.suspected = true;
+            state.suspectedAt = now;
+            view = null;
+        }
+    }
+
+    /**
+     * Returns how many instances there are, those included that were heard of only once.
+     *
+     * @param now The present monotonic time in nanoseconds.
+     * @return The number of instances by name, with this one.
+     */
+    public int known(long now) {
+        return view(now).known;
+    }
+
     /** Notes when an instance was alive. */
     private void hear(State state, long heard) {
         if (heard - state.heardAt > 0) {
@@ -277,8 +306,10 @@
         List<Instance> serving = new ArrayList<>();
         Set<State> steady = new HashSet<>();
         long until = now + SILENCE_NANOS;
+        List<Instance> answering = new ArrayList<>();
         if (!stopping) {
             serving.add(self);
+            answering.add(self);
         }
         for (State state : others.values()) {
             if (now - state.heardAt > SILENCE_NANOS || replaced(state, newest)) {
@@ -288,23 +319,30 @@
             if (!state.stopping) {
                 serving.add(state.instance);
             }
-            if (newest.get(state.instance.id().name()) == state) {
+            if (!state.stopping && !state.suspected(now)) {
+                answering.add(state.instance);
+            }
+            if (newest.get(state.instance.id().name()) == state && !state.suspected) {
                 steady.add(state);
             }
+            if (state.suspected) {
+                until = Math.min(until, Math.max(now, state.suspectedAt + SUSPECT_NANOS));
+            }
             until = Math.min(until, state.heardAt + SILENCE_NANOS);
         }
         return new View(
                 List.copyOf(serving),
                 Collections.unmodifiableMap(running),
-                dispatcher(serving),
+                dispatcher(answering),
                 Collections.unmodifiableSet(steady),
+                newest.size() + (newest.containsKey(self.id().name()) ? 0 : 1),
                 until);
     }
 
-    /** Returns the instance that dispatches, of those that serve. */
-    private Instance dispatcher(List<Instance> serving) {
-        Optional<Rank> best = serving.stream().map(Rank::of).min(Rank.ORDER);
-        List<Instance> first = serving.stream()
+    /** Returns the instance that dispatches, of those that serve and answer. */
+    private Instance dispatcher(List<Instance> answering) {
+        Optional<Rank> best = answering.stream().map(Rank::of).min(Rank.ORDER);
+        List<Instance> first = answering.stream()
                 .filter(instance -> best.filter(Rank.of(instance)::equals).isPresent())
                 .toList();
         return Rendezvous.first(DISPATCHER_KEY, first, instance -> instance.id().name())
@@ -351,6 +389,7 @@
      * @param running The other instances that run, by their identity as a text.
      * @param dispatcher The instance that dispatches.
      * @param steady The runs for which a later sign changes nothing but the time.
+     * @param known The number of instances by name, also of silent ones.
      * @param until The monotonic time in nanoseconds until which this is true if no sign comes.
      */
     private record View(
@@ -358,6 +397,7 @@
             Map<String, Instance> running,
             Instance dispatcher,
             Set<State> steady,
+            int known,
             long until) {}
 
     /**
@@ -394,11 +434,25 @@
         /** The monotonic time in nanoseconds at which this instance first heard of it. */
         private final long firstHeardAt;
 
+        /** Whether it did not answer this instance. */
+        private boolean suspected;
+
+        /** The monotonic time in nanoseconds at which it last did not answer. */
+        private long suspectedAt;
+
         /** Creates a state. */
         State(Instance instance, long heardAt, long firstHeardAt) {
             this.instance = instance;
             this.heardAt = heardAt;
             this.firstHeardAt = firstHeardAt;
         }
+
+        /** Returns whether it is still not expected to answer. */
+        private boolean suspected(long now) {
+            if (suspected && heardAt - suspectedAt > 0 && now - suspectedAt > SUSPECT_NANOS) {
+                suspected = false;
+            }
+            return suspected;
+        }
     }
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchClientTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchClientTest.java
@@ -1,10 +1,13 @@
 package org.tanagermoor.gateway.dispatch;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -18,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.tanagermoor.gateway.fleet.FleetTeam;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.gateway.member.Instance;
 import org.tanagermoor.gateway.member.Liveness;
@@ -25,6 +29,7 @@
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.kernel.setting.Address;
 import org.tanagermoor.kernel.time.TimeSource;
+import org.tanagermoor.policy.budget.RateLimit;
 import org.tanagermoor.policy.fleet.InstanceId;
 import org.tanagermoor.policy.fleet.Rendezvous;
 import org.tanagermoor.wire.link.Channel;
@@ -38,6 +43,9 @@
     /** The places of the one target. */
     private static final int CAPACITY = 4;
 
+    /** The rate of the limited team. */
+    private static final int LIMIT_PER_SECOND = 16;
+
     /** The channel whose event loop runs everything. */
     private final EmbeddedChannel channel = new EmbeddedChannel();
 
@@ -109,6 +117,58 @@
         assertThat(verdicts.get(0), instanceOf(Verdict.Granted.class));
     }
 
+    /**
+     * Load: the dispatcher is lost, and callers of a team go on below its rate. The next one takes over as soon as the
+     * first does not answer, long before it counts as lost, and refuses none of them.
+     */
+    @Test
+    void refusesNobodyWithinTheRateWhenTheDispatcherIsLost() {
+        limit();
+        introduce();
+        pass(2_000);
+        dead.add(first.instance.peer());
+        List<List<Verdict>> verdicts = new ArrayList<>();
+        for (int request = 0; request < 20; request++) {
+            verdicts.add(second.askOf("shop"));
+            pass(100);
+            second.releaseAll();
+        }
+        assertThat(verdicts, everyItem(contains(instanceOf(Verdict.Granted.class))));
+        assertThat(second.liveness.dispatcher(now), is(second.instance));
+    }
+
+    /** Load: both nodes start at once and do not know each other; together they admit little beyond the rate. */
+    @Test
+    void admitsLittleBeforeTheFleetIsKnown() {
+        dead.add(first.instance.peer());
+        dead.add(second.instance.peer());
+        limit();
+        int granted = 0;
+        for (int request = 0; request < 60; request++) {
+            granted += granted(first) + granted(second);
+            pass(10);
+        }
+        assertThat(granted, is(lessThanOrEqualTo(LIMIT_PER_SECOND)));
+    }
+
+    /** Asks once for a request of the limited team and returns the place; returns how many were granted. */
+    private static int granted(Node node) {
+        List<Verdict> verdicts = node.askOf("shop");
+        node.releaseAll();
+        return (int) verdicts.stream()
+                .filter(verdict -> verdict instanceof Verdict.Granted)
+                .count();
+    }
+
+    /** Limits a team at all nodes. */
+    private void limit() {
+        FleetTeam team = new FleetTeam("shop", RateLimit.of(LIMIT_PER_SECOND, LIMIT_PER_SECOND), true);
+        nodes.values().forEach(node -> {
+            node.client.tick(now);
+            node.rates.teams(List.of(team), now);
+        });
+    }
+
     /** An instance that is alone for good begins items after a while. */
     @Test
     void beginsItemsWhenItIsAlone() {
@@ -230,6 +290,9 @@
         /** The asks. */
         private final DispatchClient client;
 
+        /** The rates of the teams. */
+        private final TeamRates rates = TeamRates.of();
+
         /** The granted permits. */
         private final List<Long> granted = new ArrayList<>();
 
@@ -240,7 +303,6 @@
             liveness = Liveness.of(instance);
             nodes.put(address, this);
             EventLoop loop = channel.eventLoop();
-            TeamRates rates = TeamRates.of();
             server = DispatchServer.of(loop, this, liveness, time, rates);
             client = DispatchClient.of(loop, this, liveness, server, rates, new EventLog.Disabled(), time);
             TargetEntry target = new TargetEntry("t", "s", address, "lisbon", CAPACITY, false, 0, 0);
@@ -249,11 +311,21 @@
 
         /** Asks for a place, and returns the list that receives the verdict. */
         List<Verdict> ask(boolean batch) {
+            return ask(batch, "");
+        }
+
+        /** Asks for a place for a request of a team, and returns the list that receives the verdict. */
+        List<Verdict> askOf(String team) {
+            return ask(false, team);
+        }
+
+        /** Asks for a place, and returns the list that receives the verdict. */
+        private List<Verdict> ask(boolean batch, String team) {
             List<Verdict> verdicts = new ArrayList<>();
             long permit = client.nextPermit();
             long wait = TimeUnit.SECONDS.toNanos(20);
             client.ask(
-                    new Ask(client.self(), permit, "s", "", "lisbon", 0, wait, wait, batch, false, Set.of()),
+                    new Ask(client.self(), permit, "s", team, "lisbon", 0, wait, wait, batch, false, Set.of()),
                     verdict -> {
                         verdicts.add(verdict);
                         if (verdict instanceof Verdict.Granted) {
