--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherTest.java
@@ -287,6 +287,72 @@
         assertThat("the longest queue", unanswered, is(lessThanOrEqualTo(70)));
     }
 
+    /**
+     * Load: bursts of 2.2 s with a quarter more requests than places, and 3 s of calm between them, of callers that heed
+     * the time to come back and try once more. Nine of ten are on time, at once or when they come back, and at most one
+     * in fifty is refused twice.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void servesNearlyAllOfABurst(long seed) {
+        Random random = new Random(seed);
+        dispatcher.targets(List.of(target("a", 24, 0), target("b", 24, 0)), service -> 0, now);
+        Map<Long, Long> arrived = new HashMap<>();
+        Map<Long, Long> ends = new HashMap<>();
+        Map<Long, Long> returns = new HashMap<>();
+        int asked = 0;
+        int onTime = 0;
+        int onTimeAgain = 0;
+        int refusedTwice = 0;
+        for (int millis = 0; millis < 26_000; millis++) {
+            pass(1);
+            ends.entrySet().removeIf(end -> {
+                if (end.getValue() <= now) {
+                    release(end.getKey(), PlaceOutcome.SERVED);
+                }
+                return end.getValue() <= now;
+            });
+            boolean burst = millis % 5_200 >= 3_000;
+            if (random.nextInt(10_000) < (burst ? 860 : 200)) {
+                asked++;
+                long permit = 10_000L + millis;
+                arrived.put(permit, now);
+                dispatcher.ask(ask(permit, false, 4_900, ""), now).ifPresent(verdict -> verdicts.put(permit, verdict));
+            }
+            returns.entrySet().removeIf(back -> {
+                boolean due = back.getValue() <= now;
+                if (due) {
+                    long permit = back.getKey() + 1_000_000;
+                    arrived.put(permit, now);
+                    dispatcher.ask(returning(permit, 3_000), now).ifPresent(verdict -> verdicts.put(permit, verdict));
+                }
+                return due;
+            });
+            dispatcher.tick(now);
+            for (Map.Entry<Long, Verdict> entry : Map.copyOf(verdicts).entrySet()) {
+                boolean again = entry.getKey() >= 1_000_000;
+                boolean late = now - arrived.get(entry.getKey()) > TimeUnit.MILLISECONDS.toNanos(240);
+                switch (entry.getValue()) {
+                    case Verdict.Granted ignored -> {
+                        onTime += late || again ? 0 : 1;
+                        onTimeAgain += late || !again ? 0 : 1;
+                        long hold = 400L + random.nextInt(600);
+                        ends.put(entry.getKey(), now + TimeUnit.MILLISECONDS.toNanos(hold));
+                    }
+                    case Verdict.Refused refused
+                    when !again ->
+                        returns.put(entry.getKey(), now + TimeUnit.MILLISECONDS.toNanos(refused.retryAfterMillis()));
+                    case Verdict.Refused ignored -> refusedTwice++;
+                }
+            }
+            verdicts.clear();
+        }
+        String figures = "asked " + asked + ", on time " + onTime + ", on time when they came back " + onTimeAgain
+                + ", refused twice " + refusedTwice;
+        assertThat(figures, 10 * (onTime + onTimeAgain), greaterThan(9 * asked));
+        assertThat(figures, 50 * refusedTwice, is(lessThanOrEqualTo(asked)));
+    }
+
     /** Of those that wait and can be on time, one that came back after a refusal goes first. */
     @Test
     void servesThoseThatCameBackFirst() {
