Close the connection of a malformed request

Cause: after bytes that are no request it is not known where the next one begins, but the connection was kept until it was idle for long. Test: GatewaySessionTest.closesAfterAMalformedRequest, failed first (three cases).

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/CallerConnection.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/CallerConnection.java
@@ -106,7 +106,8 @@
 
     /** Begins to answer a request. */
     private void begin(ChannelHandlerContext context, FullHttpRequest request) {
-        Exchange exchange = new Exchange(context, HttpUtil.isKeepAlive(request));
+        boolean whole = request.decoderResult().isSuccess();
+        Exchange exchange = new Exchange(context, whole && HttpUtil.isKeepAlive(request));
         current = exchange;
         try {
             exchange.begun(handler.handle(request, exchange));
