--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -127,7 +127,7 @@
 
     /**
      * Returns the item of a job that goes next: of those that can still end in time the one that must begin first, else
-     * the one that missed its time last.
+     * the one that is late for longest.
      *
      * @param now The present monotonic time in nanoseconds.
      * @return The item, of which there must be one.
