--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherTest.java
@@ -4,65 +4,27 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
-import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.greaterThan;
-import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.TreeMap;
-import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagermoor.gateway.fleet.FleetTeam;
-import org.tanagermoor.gateway.fleet.TargetEntry;
-import org.tanagermoor.kernel.setting.Address;
 import org.tanagermoor.policy.budget.RateLimit;
 
 /** Plays asks against a dispatcher with a clock of its own. */
-final class DispatcherTest {
-
-    /** The service of the tests. */
-    private static final String SERVICE = "assistant";
-
-    /** The ways in which the use of a place ends. */
-    private static final List<PlaceOutcome> OUTCOMES = List.of(PlaceOutcome.values());
-
-    /** The decisions that came later. */
-    private final List<String> later = new ArrayList<>();
-
-    /** The verdicts that came later, by permit. */
-    private final Map<Long, Verdict> verdicts = new HashMap<>();
-
-    /** The recalled permits. */
-    private final List<Long> recalled = new ArrayList<>();
-
-    /** The rates. */
-    private final TeamRates rates = TeamRates.of();
-
-    /** The present time in nanoseconds. */
-    private long now = TimeUnit.SECONDS.toNanos(1_000);
-
-    /** The dispatcher. */
-    private Dispatcher dispatcher = dispatcher();
-
-    /** Gives the dispatcher two targets with two places each. */
-    @BeforeEach
-    void targets() {
-        dispatcher.targets(List.of(target("a", 2, 0), target("b", 2, 0)), service -> 0, now);
-    }
+final class DispatcherTest extends DispatcherFixture {
 
     /** Places are given out until none is free, and each free one goes to who waits. */
     @Test
@@ -99,71 +61,6 @@
         assertThat(later, contains("11", "10"));
     }
 
-    /**
-     * Load: one of two targets fails every second request while its entry says that it is ready. Callers hardly meet it
-     * while the other one has room, and it is used again once it is well.
-     */
-    @Test
-    void sendsLittleToATargetThatFailsAPartOfItsRequests() {
-        dispatcher.targets(List.of(target("a", 8, 0), target("b", 8, 0)), service -> 0, now);
-        int failed = 0;
-        for (long permit = 1; permit <= 200; permit++) {
-            boolean fails = target(permit).equals("a") && permit % 2 == 0;
-            failed += fails ? 1 : 0;
-            pass(50);
-            release(permit, fails ? PlaceOutcome.FAILED : PlaceOutcome.SERVED);
-        }
-        assertThat(failed, is(lessThanOrEqualTo(12)));
-        pass(20_000);
-        Set<String> used = new HashSet<>();
-        for (long permit = 201; permit <= 216; permit++) {
-            used.add(target(permit));
-        }
-        assertThat(used, is(Set.of("a", "b")));
-    }
-
-    /** Load: a target fails the requests of one failure domain only; the other domain goes on using it. */
-    @Test
-    void judgesATargetForEachFailureDomain() {
-        dispatcher.targets(List.of(target("a", 8, 0), target("b", 8, 0)), service -> 0, now);
-        for (long permit = 1; permit <= 40; permit++) {
-            String domain = permit % 4 == 0 ? "lisbon-a" : "lisbon-b";
-            Verdict verdict = dispatcher.ask(inDomain(permit, domain), now).orElseThrow();
-            boolean fails = verdict.equals(new Verdict.Granted("a")) && domain.equals("lisbon-a");
-            pass(20);
-            release(permit, fails ? PlaceOutcome.FAILED : PlaceOutcome.SERVED);
-        }
-        List<Verdict> near = new ArrayList<>();
-        List<Verdict> other = new ArrayList<>();
-        for (long permit = 41; permit <= 48; permit += 2) {
-            near.add(dispatcher.ask(inDomain(permit, "lisbon-a"), now).orElseThrow());
-            other.add(dispatcher.ask(inDomain(permit + 1, "lisbon-b"), now).orElseThrow());
-        }
-        assertThat(near, everyItem(equalTo(new Verdict.Granted("b"))));
-        assertThat(other, hasItem(new Verdict.Granted("a")));
-    }
-
-    /** Load: one of two targets takes five times as long; at half load it gets a small part of the requests. */
-    @Test
-    void sendsLittleToASlowTarget() {
-        dispatcher.targets(List.of(target("slow", 8, 0), target("fast", 8, 0)), service -> 0, now);
-        Map<Long, Long> ends = new HashMap<>();
-        int slow = 0;
-        for (long permit = 1; permit <= 400; permit++) {
-            pass(50);
-            for (Map.Entry<Long, Long> end : new TreeMap<>(ends).entrySet()) {
-                if (end.getValue() <= now) {
-                    release(end.getKey(), PlaceOutcome.SERVED);
-                    ends.remove(end.getKey());
-                }
-            }
-            boolean isSlow = target(permit).equals("slow");
-            slow += isSlow ? 1 : 0;
-            ends.put(permit, now + TimeUnit.MILLISECONDS.toNanos(isSlow ? 1_000 : 200));
-        }
-        assertThat(slow, is(lessThanOrEqualTo(400 / 5)));
-    }
-
     /**
      * Load: more items of jobs wait than can end in time. Those that still can go before one that cannot, whatever
      * came first.
@@ -229,130 +126,6 @@
         assertThat(dispatcher.waiting(), is(lessThanOrEqualTo(2)));
     }
 
-    /**
-     * Plays twice as many callers as the targets serve, for eight seconds, and counts who gets a place on time. Callers
-     * that are refused come back once, when they were told to.
-     */
-    @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3})
-    void servesMostPlacesOnTimeUnderOverload(long seed) {
-        Random random = new Random(seed);
-        dispatcher = dispatcher();
-        dispatcher.targets(List.of(target("a", 8, 0), target("b", 8, 0)), service -> 0, now);
-        Map<Long, Long> arrived = new HashMap<>();
-        Map<Long, Long> ends = new HashMap<>();
-        Map<Long, Long> returns = new HashMap<>();
-        int onTime = 0;
-        int unanswered = 0;
-        for (int millis = 0; millis < 8_000; millis++) {
-            pass(1);
-            ends.entrySet().removeIf(end -> {
-                if (end.getValue() <= now) {
-                    release(end.getKey(), PlaceOutcome.SERVED);
-                }
-                return end.getValue() <= now;
-            });
-            if (random.nextInt(1_000) < 46) {
-                long permit = 10_000L + millis;
-                arrived.put(permit, now);
-                dispatcher.ask(ask(permit, false, 4_900, ""), now).ifPresent(verdict -> verdicts.put(permit, verdict));
-            }
-            returns.entrySet().removeIf(back -> {
-                boolean due = back.getValue() <= now;
-                if (due) {
-                    long permit = back.getKey() + 1_000_000;
-                    arrived.put(permit, now);
-                    dispatcher.ask(returning(permit, 3_000), now).ifPresent(verdict -> verdicts.put(permit, verdict));
-                }
-                return due;
-            });
-            dispatcher.tick(now);
-            for (Map.Entry<Long, Verdict> entry : Map.copyOf(verdicts).entrySet()) {
-                long waited = now - arrived.get(entry.getKey());
-                if (entry.getValue() instanceof Verdict.Granted) {
-                    onTime += waited <= TimeUnit.MILLISECONDS.toNanos(240) ? 1 : 0;
-                    ends.put(entry.getKey(), now + TimeUnit.MILLISECONDS.toNanos(700));
-                } else if (entry.getKey() < 1_000_000) {
-                    returns.put(entry.getKey(), now + TimeUnit.MILLISECONDS.toNanos(1_500));
-                }
-            }
-            verdicts.clear();
-            arrived.keySet().stream()
-                    .filter(permit -> now - arrived.get(permit) > TimeUnit.SECONDS.toNanos(4))
-                    .findFirst()
-                    .ifPresent(arrived::remove);
-            unanswered = Math.max(unanswered, dispatcher.waiting());
-        }
-        assertThat("on time of about 180 that fit", onTime, greaterThan(120));
-        assertThat("the longest queue", unanswered, is(lessThanOrEqualTo(70)));
-    }
-
-    /**
-     * Load: bursts of 2.2 s with a quarter more requests than places, and 3 s of calm between them, of callers that heed
-     * the time to come back and try once more. Nine of ten are on time, at once or when they come back, and at most one
-     * in fifty is refused twice.
-     */
-    @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4})
-    void servesNearlyAllOfABurst(long seed) {
-        Random random = new Random(seed);
-        dispatcher.targets(List.of(target("a", 24, 0), target("b", 24, 0)), service -> 0, now);
-        Map<Long, Long> arrived = new HashMap<>();
-        Map<Long, Long> ends = new HashMap<>();
-        Map<Long, Long> returns = new HashMap<>();
-        int asked = 0;
-        int onTime = 0;
-        int onTimeAgain = 0;
-        int refusedTwice = 0;
-        for (int millis = 0; millis < 26_000; millis++) {
-            pass(1);
-            ends.entrySet().removeIf(end -> {
-                if (end.getValue() <= now) {
-                    release(end.getKey(), PlaceOutcome.SERVED);
-                }
-                return end.getValue() <= now;
-            });
-            boolean burst = millis % 5_200 >= 3_000;
-            if (random.nextInt(10_000) < (burst ? 860 : 200)) {
-                asked++;
-                long permit = 10_000L + millis;
-                arrived.put(permit, now);
-                dispatcher.ask(ask(permit, false, 4_900, ""), now).ifPresent(verdict -> verdicts.put(permit, verdict));
-            }
-            returns.entrySet().removeIf(back -> {
-                boolean due = back.getValue() <= now;
-                if (due) {
-                    long permit = back.getKey() + 1_000_000;
-                    arrived.put(permit, now);
-                    dispatcher.ask(returning(permit, 3_000), now).ifPresent(verdict -> verdicts.put(permit, verdict));
-                }
-                return due;
-            });
-            dispatcher.tick(now);
-            for (Map.Entry<Long, Verdict> entry : Map.copyOf(verdicts).entrySet()) {
-                boolean again = entry.getKey() >= 1_000_000;
-                boolean late = now - arrived.get(entry.getKey()) > TimeUnit.MILLISECONDS.toNanos(240);
-                switch (entry.getValue()) {
-                    case Verdict.Granted ignored -> {
-                        onTime += late || again ? 0 : 1;
-                        onTimeAgain += late || !again ? 0 : 1;
-                        long hold = 400L + random.nextInt(600);
-                        ends.put(entry.getKey(), now + TimeUnit.MILLISECONDS.toNanos(hold));
-                    }
-                    case Verdict.Refused refused
-                    when !again ->
-                        returns.put(entry.getKey(), now + TimeUnit.MILLISECONDS.toNanos(refused.retryAfterMillis()));
-                    case Verdict.Refused ignored -> refusedTwice++;
-                }
-            }
-            verdicts.clear();
-        }
-        String figures = "asked " + asked + ", on time " + onTime + ", on time when they came back " + onTimeAgain
-                + ", refused twice " + refusedTwice;
-        assertThat(figures, 10 * (onTime + onTimeAgain), greaterThan(9 * asked));
-        assertThat(figures, 50 * refusedTwice, is(lessThanOrEqualTo(asked)));
-    }
-
     /** Of those that wait and can be on time, one that came back after a refusal goes first. */
     @Test
     void servesThoseThatCameBackFirst() {
@@ -495,113 +268,4 @@
                 .filter(Verdict.Granted.class::isInstance)
                 .count();
     }
-
-    /** Takes all places for online requests 1 to 4. */
-    private void fill() {
-        for (long permit = 1; permit <= 4; permit++) {
-            ask(permit, false);
-        }
-    }
-
-    /** Returns a dispatcher that notes what it decides later. */
-    private Dispatcher dispatcher() {
-        return Dispatcher.of(
-                new Dispatcher.Sink() {
-                    /** {@inheritDoc} */
-                    @Override
-                    public void decided(Ask ask, Verdict verdict) {
-                        later.add(Long.toString(ask.permit()));
-                        verdicts.put(ask.permit(), verdict);
-                    }
-
-                    /** {@inheritDoc} */
-                    @Override
-                    public void recall(String holder, long permit) {
-                        recalled.add(permit);
-                    }
-                },
-                rates);
-    }
-
-    /** Lets time pass, in milliseconds. */
-    private void pass(long millis) {
-        now += TimeUnit.MILLISECONDS.toNanos(millis);
-    }
-
-    /** Asks for a place. */
-    private Optional<Verdict> ask(long permit, boolean batch) {
-        return dispatcher.ask(ask(permit, batch, 5_000, ""), now);
-    }
-
-    /** Returns a permit. */
-    private void release(long permit, PlaceOutcome outcome) {
-        dispatcher.release("x", permit, outcome, now);
-    }
-
-    /** Asks for a place for an online request, and returns the target that it got. */
-    private String target(long permit) {
-        return ((Verdict.Granted) ask(permit, false).orElseThrow()).target();
-    }
-
-    /** Returns the ask of an item that must begin within a time in milliseconds to end in time. */
-    private static Ask item(long permit, long beginMillis) {
-        Ask ask = ask(permit, true, 10_000, "");
-        long nanos = TimeUnit.MILLISECONDS.toNanos(beginMillis);
-        return new Ask("x", permit, SERVICE, "", ask.domain(), 0, ask.waitNanos(), nanos, true, false, Set.of());
-    }
-
-    /** Returns the ask of an online request that an instance in a failure domain has. */
-    private static Ask inDomain(long permit, String domain) {
-        Ask ask = online(permit);
-        return new Ask("x", permit, SERVICE, "", domain, 0, ask.waitNanos(), ask.onTimeNanos(), false, false, Set.of());
-    }
-
-    /** Returns the ask of a caller that comes back. */
-    private static Ask returning(long permit, long waitMillis) {
-        Ask ask = ask(permit, false, waitMillis, "");
-        return new Ask(
-                ask.holder(),
-                permit,
-                SERVICE,
-                "",
-                ask.domain(),
-                0,
-                ask.waitNanos(),
-                ask.onTimeNanos(),
-                false,
-                true,
-                Set.of());
-    }
-
-    /** Returns an online ask. */
-    private static Ask online(long permit) {
-        return ask(permit, false, 5_000, "");
-    }
-
-    /** Returns an ask. */
-    private static Ask ask(long permit, boolean batch, long waitMillis, String team) {
-        return ask("x", permit, batch, waitMillis, team, Set.of());
-    }
-
-    /** Returns an ask. */
-    private static Ask ask(
-            String holder, long permit, boolean batch, long waitMillis, String team, Set<String> excluded) {
-        return new Ask(
-                holder,
-                permit,
-                SERVICE,
-                team,
-                "lisbon-a",
-                0,
-                TimeUnit.MILLISECONDS.toNanos(waitMillis),
-                TimeUnit.MILLISECONDS.toNanos(240),
-                batch,
-                false,
-                excluded);
-    }
-
-    /** Returns a target. */
-    private static TargetEntry target(String id, int capacity, long warmupMillis) {
-        return new TargetEntry(id, SERVICE, Address.of("127.0.0.1", 1), "lisbon-a", capacity, false, warmupMillis, 0);
-    }
 }
