Reset what a stand-in target accepts while it stops to listen

A stand-in that goes reset its connections before its listener was closed, so that a client could connect anew and resume. The test was right and is unchanged. Change: the injector resets what is accepted after that. Test: FaultInjectorTest.

--- a/tanagermoor-standin/src/main/java/org/tanagermoor/standin/target/FaultInjector.java
+++ b/tanagermoor-standin/src/main/java/org/tanagermoor/standin/target/FaultInjector.java
@@ -24,6 +24,9 @@
     /** Makes the target stop to listen. */
     private final Runnable leave;
 
+    /** Whether the target has gone, so that connections that are accepted on the way out are reset. */
+    private volatile boolean gone;
+
     /**
      * Creates an injector.
      *
@@ -43,6 +46,10 @@
      */
     void accepted(Channel channel, Faults faults) {
         connections.add(channel);
+        if (gone) {
+            reset(channel);
+            return;
+        }
         faults.takeForConnection().ifPresent(fault -> {
             if (fault.kind() == Fault.Kind.SILENCE) {
                 channel.attr(SILENT).set(true);
@@ -62,6 +69,12 @@
         return channel.hasAttr(SILENT);
     }
 
+    /** Resets all connections, and those that are still accepted before the target has stopped to listen. */
+    void leave() {
+        gone = true;
+        resetAll();
+    }
+
     /** Resets all connections. */
     void resetAll() {
         connections.forEach(FaultInjector::reset);
--- a/tanagermoor-standin/src/main/java/org/tanagermoor/standin/target/StandInTarget.java
+++ b/tanagermoor-standin/src/main/java/org/tanagermoor/standin/target/StandInTarget.java
@@ -166,7 +166,7 @@
     /** Stops to listen and resets all connections. */
     private void leave() {
         server.channel().close();
-        injector.resetAll();
+        injector.leave();
     }
 
     /** Forgets what the memory held and resets all connections, as the engine fell over. */
