Record how items of jobs spend their time

No decision changes.

Change: ITEM_RUN_ENDED for each run with its end, ITEM_ENDED with the times waited, run and idle at the last owner, JOB_RESUMED after a take-over, waited-ms and due-in-ms at REQUEST_PLACED; timers and counters of the same at the metrics address.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
@@ -85,7 +85,16 @@
     CALLER_DEFECT(2226, Level.WARNING, "an exchange with a caller met a defect"),
 
     /** A job was given up by an instance that leaves. */
-    JOB_HANDED_OVER(2227, Level.INFO, "a job was handed over");
+    JOB_HANDED_OVER(2227, Level.INFO, "a job was handed over"),
+
+    /** A run of an item ended, with or without a result. */
+    ITEM_RUN_ENDED(2228, Level.INFO, "a run of an item ended"),
+
+    /** An item has a result; the line says how it spent its time at this owner. */
+    ITEM_ENDED(2229, Level.INFO, "an item ended"),
+
+    /** The items, results and progress of a job that was taken over were read. */
+    JOB_RESUMED(2230, Level.INFO, "a job that was taken over goes on");
 
     /** What the catalogue says. */
     private final Entry entry;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayMetrics.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayMetrics.java
@@ -31,6 +31,18 @@
     /** The results that were recorded. */
     private final Counter results;
 
+    /** The time for which items of jobs waited for each of their places. */
+    private final Timer itemWait;
+
+    /** The items that were completed in time. */
+    private final Counter itemsInTime;
+
+    /** The items that were completed late. */
+    private final Counter itemsLate;
+
+    /** The items that were given up. */
+    private final Counter itemsAbandoned;
+
     /** Creates metrics. */
     private GatewayMetrics(MetricRegistry registry) {
         this.registry = registry;
@@ -40,6 +52,10 @@
         failed = registry.counter("online.exchanges-failed");
         jobs = registry.counter("batch.jobs-accepted");
         results = registry.counter("batch.results-recorded");
+        itemWait = registry.timer("batch.item-wait");
+        itemsInTime = registry.counter("batch.items-in-time");
+        itemsLate = registry.counter("batch.items-late");
+        itemsAbandoned = registry.counter("batch.items-abandoned");
     }
 
     /** Returns metrics in a registry. */
@@ -82,4 +98,25 @@
     public void resultsRecorded(int count) {
         results.inc(count);
     }
+
+    /** Counts a place for an item that came after a time in nanoseconds. */
+    public void itemWaited(long nanos) {
+        itemWait.update(nanos, TimeUnit.NANOSECONDS);
+    }
+
+    /** Counts a run of an item that ended in a way and took a time in nanoseconds. */
+    public void itemRan(String end, long nanos) {
+        registry.timer("batch.item-run." + end).update(nanos, TimeUnit.NANOSECONDS);
+    }
+
+    /** Counts an item that ended. */
+    public void itemEnded(boolean inTime, boolean completed) {
+        if (inTime) {
+            itemsInTime.inc();
+        } else if (completed) {
+            itemsLate.inc();
+        } else {
+            itemsAbandoned.inc();
+        }
+    }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -107,6 +107,9 @@
     /** The number of the event after which the present run began. */
     private long begunAfter;
 
+    /** Records what becomes of the item. */
+    private final ItemLog log;
+
     /** Creates a run of an item, which goes on after what an earlier owner has recorded. */
     ItemRun(JobContext context, JobRun job, JobItem item, ItemProgress recorded) {
         this.context = context;
@@ -117,6 +120,7 @@
         failures = recorded.getFailures();
         recordedEvent = lastEvent;
         recordedFailures = failures;
+        log = new ItemLog(context, job, item.getId(), context.time().nanos());
     }
 
     /** Returns the item. */
@@ -129,6 +133,11 @@
         return state == State.IDLE;
     }
 
+    /** Returns whether the item has produced something. */
+    boolean begun() {
+        return lastEvent > 0;
+    }
+
     /** Returns whether the item waits for a place. */
     boolean asking() {
         return state == State.ASKING;
@@ -162,7 +171,7 @@
     /** Ends a run at a target that has gone silent, and lets the item go on elsewhere. */
     void watch(long now) {
         if (state == State.RUNNING && now - heardAt > SILENCE_NANOS) {
-            note("nothing came for " + TimeUnit.NANOSECONDS.toMillis(now - heardAt) + " ms");
+            failedRun("nothing came for " + TimeUnit.NANOSECONDS.toMillis(now - heardAt) + " ms");
             excluded.add(targetId());
             stopExchange();
             again(PlaceOutcome.FAILED, RETRY_MILLIS);
@@ -177,6 +186,7 @@
      */
     void ask(Route route, long dueNanos) {
         state = State.ASKING;
+        log.enter(ItemLog.Phase.WAITING, context.time().nanos());
         permit = context.dispatch().nextPermit();
         long asked = permit;
         context.runs().put(asked, this);
@@ -199,6 +209,7 @@
 
     /** Ends the run; nothing follows. */
     void stop() {
+        endRun(ItemLog.RunEnd.STOPPED, "the item is no longer wanted here");
         state = State.DONE;
         stopExchange();
         returnPermit(PlaceOutcome.UNUSED);
@@ -207,6 +218,7 @@
     /** Ends the present run and begins no other; what has come is kept. */
     void suspend() {
         if (state != State.DONE) {
+            endRun(ItemLog.RunEnd.SUSPENDED, "the job is handed over");
             state = State.SUSPENDED;
             stopExchange();
             returnPermit(PlaceOutcome.UNUSED);
@@ -216,17 +228,7 @@
     /** Gives the place up for an online request, and keeps what has come. */
     void recall() {
         if (state == State.RUNNING) {
-            context.events()
-                    .record(
-                            GatewayEvent.EXCHANGE_FAILED,
-                            "request",
-                            item.getId(),
-                            "target",
-                            targetId(),
-                            "detail",
-                            "the place is needed by an online request",
-                            "last-event",
-                            lastEvent);
+            endRun(ItemLog.RunEnd.RECALLED, "the place is needed by an online request");
             stopExchange();
             again(PlaceOutcome.UNUSED, 0);
         }
@@ -262,17 +264,7 @@
         target = entry;
         frames = EventFrames.of();
         status = 0;
-        context.events()
-                .record(
-                        GatewayEvent.REQUEST_PLACED,
-                        "request",
-                        item.getId(),
-                        "job",
-                        job.id(),
-                        "target",
-                        id,
-                        "last-event",
-                        lastEvent);
+        log.placed(id, lastEvent, begunAt);
         Map<String, String> headers = new LinkedHashMap<>();
         for (ItemHeader header : item.getHeadersList()) {
             headers.put(header.getName(), header.getValue());
@@ -300,7 +292,7 @@
         heardAt = context.time().nanos();
         status = head.status();
         if (head.notRun() || head.otherTarget()) {
-            note("the target did not run the item: " + status);
+            failedRun("the target did not run the item: " + status);
             excluded.add(targetId());
             stopExchange();
             again(PlaceOutcome.FULL, RETRY_MILLIS);
@@ -308,7 +300,7 @@
             giveUp("the target says that the item can never be done");
         } else if (status != OK_STATUS) {
             failures += status == FAILED_STATUS ? 1 : 0;
-            note("the target answered " + status);
+            failedRun("the target answered " + status + ", failures " + failures);
             excluded.add(targetId());
             stopExchange();
             if (failures >= job.attempts()) {
@@ -328,7 +320,7 @@
         }
         for (EventFrames.Event event : frames.add(content)) {
             if (event.number() != lastEvent + 1) {
-                note("event " + event.number() + " came after event " + lastEvent);
+                failedRun("event " + event.number() + " came after event " + lastEvent);
                 excluded.add(targetId());
                 stopExchange();
                 again(PlaceOutcome.FAILED, RETRY_MILLIS);
@@ -347,7 +339,7 @@
         }
         exchange = null;
         if (lastEvent == 0 || frames.rest().length > 0) {
-            note("the answer ended within an event");
+            failedRun("the answer ended within an event");
             again(PlaceOutcome.FAILED, RETRY_MILLIS);
             return;
         }
@@ -364,7 +356,7 @@
             return;
         }
         exchange = null;
-        note(failure.detail());
+        failedRun(failure.detail());
         excluded.add(targetId());
         boolean reached = failure.execution() != Execution.NOT_RUN;
         again(reached ? PlaceOutcome.FAILED : PlaceOutcome.UNREACHABLE, reached ? RETRY_MILLIS : 0);
@@ -380,6 +372,8 @@
 
     /** Ends the run with a result. */
     private void finish(JobResult result, PlaceOutcome outcome) {
+        endRun(ItemLog.RunEnd.DONE, "");
+        log.ended(result.completed(), context.time().nanos());
         state = State.DONE;
         returnPermit(outcome);
         job.finished(result);
@@ -394,6 +388,7 @@
     /** Makes the item idle after a pause. */
     private void pause(long millis) {
         state = State.PAUSED;
+        log.enter(ItemLog.Phase.IDLE, context.time().nanos());
         context.loop()
                 .schedule(
                         () -> {
@@ -423,24 +418,21 @@
         }
     }
 
-    /** Notes a failed run. */
-    private void note(String detail) {
-        context.events()
-                .record(
-                        GatewayEvent.EXCHANGE_FAILED,
-                        "request",
-                        item.getId(),
-                        "job",
-                        job.id(),
-                        "target",
-                        targetId(),
-                        "detail",
-                        detail,
-                        "last-event",
-                        lastEvent,
-                        "failures",
-                        failures);
+    /** Records that the target failed the present run. */
+    private void failedRun(String detail) {
         context.metrics().exchangeFailed();
+        endRun(ItemLog.RunEnd.FAILED, detail);
+    }
+
+    /** Records the end of the present run, if there is one. */
+    private void endRun(ItemLog.RunEnd end, String detail) {
+        log.runEnded(
+                end,
+                detail,
+                targetId(),
+                lastEvent,
+                recordedEvent,
+                context.time().nanos());
     }
 
     /** Returns the identity of the target; empty if there is none. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
@@ -88,12 +88,16 @@
     /** The monotonic time in nanoseconds of the last commit of progress. */
     private long progressAt;
 
+    /** The monotonic time in nanoseconds at which this instance became the owner. */
+    private final long startedAt;
+
     /** Creates a run. */
     JobRun(JobContext context, JobRecord job, Consumer<JobRecord> changed) {
         this.context = context;
         this.job = job;
         this.changed = changed;
-        progressAt = context.time().nanos();
+        startedAt = context.time().nanos();
+        progressAt = startedAt;
     }
 
     /** Returns the identity of the job. */
@@ -116,6 +120,17 @@
         return route().map(Route::attempts).orElse(1);
     }
 
+    /** Returns the time until the job is due in milliseconds; below 0 if it is late, 0 if its route is gone. */
+    long dueMillis() {
+        return route().map(route -> dueMillis(route, context.time().wallMillis()))
+                .orElse(0L);
+    }
+
+    /** Returns the time until the job is due in milliseconds, at a time of day in milliseconds. */
+    private long dueMillis(Route route, long nowMillis) {
+        return job.row().getAcceptedMillis() + route.batch().completionMillis() - nowMillis;
+    }
+
     /** Starts with items that are known. */
     void start(JobContent content) {
         load(content, List.of(), Map.of());
@@ -153,6 +168,19 @@
             context.loop().schedule(this::resume, RETRY_MILLIS, TimeUnit.MILLISECONDS);
         } else {
             load(content.get(), results.get(), progress.get());
+            context.events()
+                    .record(
+                            GatewayEvent.JOB_RESUMED,
+                            "job",
+                            id(),
+                            "left",
+                            items.size(),
+                            "begun",
+                            items.values().stream().filter(ItemRun::begun).count(),
+                            "took-ms",
+                            TimeUnit.NANOSECONDS.toMillis(context.time().nanos() - startedAt),
+                            "due-in-ms",
+                            dueMillis());
         }
     }
 
@@ -218,12 +246,11 @@
         if (route.isEmpty()) {
             return;
         }
-        long accepted = job.row().getAcceptedMillis();
-        if (nowMillis - accepted > route.get().batch().abandonMillis()) {
+        if (nowMillis - job.row().getAcceptedMillis() > route.get().batch().abandonMillis()) {
             List.copyOf(items.values()).forEach(item -> item.giveUp("the time for the job is over"));
             return;
         }
-        long due = TimeUnit.MILLISECONDS.toNanos(accepted + route.get().batch().completionMillis() - nowMillis);
+        long due = TimeUnit.MILLISECONDS.toNanos(dueMillis(route.get(), nowMillis));
         long asking = items.values().stream().filter(ItemRun::asking).count();
         for (ItemRun item : List.copyOf(items.values())) {
             if (asking >= ASKING_MOST || unrecorded.size() >= UNRECORDED_MOST) {
