--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -32,7 +32,7 @@
  * An item of a job that this instance runs. What a broken or recalled run has produced is kept, and the next run goes
  * on after it. Confined to the event loop.
  */
-public final class ItemRun implements TargetListener {
+public final class ItemRun implements TargetListener, AskOrder.Candidate {
 
     /** The status of a target that failed at the item. */
     private static final int FAILED_STATUS = 500;
@@ -128,18 +128,21 @@
         return item;
     }
 
-    /** Returns whether the item neither runs nor waits for a place. */
-    boolean idle() {
+    /** {@inheritDoc} */
+    @Override
+    public boolean idle() {
         return state == State.IDLE;
     }
 
-    /** Returns whether the item has produced something. */
-    boolean begun() {
+    /** {@inheritDoc} */
+    @Override
+    public boolean begun() {
         return lastEvent > 0;
     }
 
-    /** Returns whether the item waits for a place. */
-    boolean asking() {
+    /** {@inheritDoc} */
+    @Override
+    public boolean asking() {
         return state == State.ASKING;
     }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
@@ -40,9 +40,6 @@
     /** The most results that wait to be recorded before no more items are started. */
     private static final int UNRECORDED_MOST = 48;
 
-    /** The most items of a job that wait for a place at once. */
-    private static final int ASKING_MOST = 4;
-
     /**
      * The time between two commits of what unfinished items have produced, in milliseconds: a lost owner costs this
      * much of each run, and a job a fraction of the commits of one partition.
@@ -251,15 +248,11 @@
             return;
         }
         long due = TimeUnit.MILLISECONDS.toNanos(dueMillis(route.get(), nowMillis));
-        long asking = items.values().stream().filter(ItemRun::asking).count();
-        for (ItemRun item : List.copyOf(items.values())) {
-            if (asking >= ASKING_MOST || unrecorded.size() >= UNRECORDED_MOST) {
+        for (ItemRun item : AskOrder.next(items.values())) {
+            if (unrecorded.size() >= UNRECORDED_MOST) {
                 return;
             }
-            if (item.idle()) {
-                item.ask(route.get(), due);
-                asking += item.asking() ? 1 : 0;
-            }
+            item.ask(route.get(), due);
         }
     }
 
