Order items of jobs by what their callers gain for the time of a place

Cause: four parts of one fault, the order of waiting work under overload. - Items waited by slack alone. Of two the one with more work left went first, and late ones went behind all others. - An item counted as in time if it was so without a break; bursts recall each item about twice. - An owner asked for four items of a job in the order of the job: recalled ones stood behind four that had not begun. - An owner that had seen no item end took each for one that has not begun.

Change: an ask tells the work that is left. The dispatcher serves the item with the largest gain (in time or late) for the part of its work that is left, counts breaks by the part of the places that online requests left lately, and recalls the item that loses least. All items of a job that have begun ask, and four that have not. The pace of items is learnt from cut runs, too. A late ask stays late on the wire; it was cut off at 0 before.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Ask.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Ask.java
@@ -12,7 +12,8 @@
  * @param domain The failure domain of the instance.
  * @param promptKey A hash of the shared part of the prompt; 0 for none.
  * @param waitNanos The longest useful wait in nanoseconds.
- * @param onTimeNanos The wait after which the answer is late, in nanoseconds.
+ * @param onTimeNanos The wait after which the answer is late, in nanoseconds; below 0 if it is late anyway.
+ * @param work The work that is left of an item of a job; {@link Work#NONE} for an online request.
  * @param batch Whether it is an item of a job.
  * @param returning Whether its caller comes back after a refusal.
  * @param excluded The targets that must not be chosen.
@@ -26,6 +27,7 @@
         long promptKey,
         long waitNanos,
         long onTimeNanos,
+        Work work,
         boolean batch,
         boolean returning,
         Set<String> excluded) {}
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchCodec.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchCodec.java
@@ -10,6 +10,9 @@
 /** Writes and reads the messages about places. */
 final class DispatchCodec {
 
+    /** The thousandths of a whole. */
+    private static final double PERMILLE = 1_000;
+
     /** There are no instances. */
     private DispatchCodec() {}
 
@@ -22,7 +25,9 @@
                 .setDomain(ask.domain())
                 .setPromptKey(ask.promptKey())
                 .setWaitMillis((int) TimeUnit.NANOSECONDS.toMillis(ask.waitNanos()))
-                .setOnTimeMillis((int) TimeUnit.NANOSECONDS.toMillis(Math.max(0, ask.onTimeNanos())))
+                .setOnTimeMillis((int) TimeUnit.NANOSECONDS.toMillis(ask.onTimeNanos()))
+                .setWorkMillis((int) TimeUnit.NANOSECONDS.toMillis(ask.work().nanos()))
+                .setWorkDonePermille((int) Math.round(PERMILLE * (1 - ask.work().left())))
                 .setBatch(ask.batch())
                 .setReturning(ask.returning())
                 .addAllExcluded(ask.excluded())
@@ -40,6 +45,9 @@
                 message.getPromptKey(),
                 TimeUnit.MILLISECONDS.toNanos(message.getWaitMillis()),
                 TimeUnit.MILLISECONDS.toNanos(message.getOnTimeMillis()),
+                Work.of(
+                        TimeUnit.MILLISECONDS.toNanos(message.getWorkMillis()),
+                        1 - message.getWorkDonePermille() / PERMILLE),
                 message.getBatch(),
                 message.getReturning(),
                 Set.copyOf(message.getExcludedList()));
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -177,7 +177,7 @@
         }
         for (HeldPlace permit : permits) {
             if (!known.containsKey(permit.permit())) {
-                known.put(permit.permit(), new Held(holder, permit, "", 0, now));
+                known.put(permit.permit(), new Held(holder, permit, "", 0, Work.NONE, now));
                 Place place = queue(permit.service()).places().get(permit.target());
                 if (place != null) {
                     place.count(permit.batch(), 1);
@@ -228,6 +228,7 @@
      */
     public void tick(long now) {
         for (ServiceQueue queue : services.values()) {
+            queue.look(now);
             expire(queue, queue.online(), now);
             expire(queue, queue.batch(), now);
             drain(queue, now);
@@ -265,7 +266,7 @@
         }
         (ask.batch() ? queue.batch() : queue.online()).add(new ServiceQueue.Waiting(ask, now));
         if (!ask.batch()) {
-            recallOne(queue);
+            recallOne(queue, now);
         }
         return Optional.empty();
     }
@@ -327,15 +328,15 @@
         expired.forEach(next -> sink.decided(next.ask(), new Verdict.Refused(Verdict.Reason.OVERLOADED, retry)));
     }
 
-    /** Asks for the place of one item of a job: one that is late anyway, else the one that can best wait. */
-    private void recallOne(ServiceQueue queue) {
+    /** Asks for the place of the item of a job whose caller loses least. */
+    private void recallOne(ServiceQueue queue, long now) {
         Held best = null;
         for (Map<Long, Held> permits : held.values()) {
             for (Held place : permits.values()) {
                 if (place.batch
                         && queue.places().containsKey(place.target)
                         && !recalled.contains(place)
-                        && (best == null || place.canWaitBetter(best))) {
+                        && (best == null || place.losesLess(best, queue.leftPart(), now))) {
                     best = place;
                 }
             }
@@ -353,7 +354,7 @@
         HeldPlace permit =
                 new HeldPlace(ask.permit(), ask.service(), place.entry().id(), ask.batch());
         held.computeIfAbsent(ask.holder(), holder -> new HashMap<>())
-                .put(ask.permit(), new Held(ask.holder(), permit, ask.domain(), slack, now));
+                .put(ask.permit(), new Held(ask.holder(), permit, ask.domain(), slack, ask.work(), now));
         return new Verdict.Granted(place.entry().id());
     }
 
@@ -429,14 +430,18 @@
         /** How long the request could have waited on and been on time, in nanoseconds; below 0 if it is late. */
         private final long slack;
 
+        /** The work that was left at the grant. */
+        private final Work work;
+
         /** The monotonic time of the grant in nanoseconds. */
         private final long since;
 
         /** Creates a place in use. */
-        Held(String holder, HeldPlace place, String domain, long slack, long since) {
+        Held(String holder, HeldPlace place, String domain, long slack, Work work, long since) {
             this.holder = holder;
             this.domain = domain;
             this.slack = slack;
+            this.work = work;
             permit = place.permit();
             service = place.service();
             target = place.target();
@@ -444,10 +449,12 @@
             this.since = since;
         }
 
-        /** Returns whether an item loses less by waiting than another one. A late item has little left to lose. */
-        private boolean canWaitBetter(Held other) {
-            if ((slack < 0) != (other.slack < 0)) {
-                return slack < 0;
+        /** Returns whether the caller of an item loses less by a recall than that of another one. */
+        private boolean losesLess(Held other, double leftPart, long now) {
+            double gain = work.after(now - since).gain(slack, leftPart);
+            double otherGain = other.work.after(now - other.since).gain(other.slack, leftPart);
+            if (gain != otherGain) {
+                return gain < otherGain;
             }
             return slack == other.slack ? since - other.since > 0 : slack > other.slack;
         }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Place.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Place.java
@@ -87,6 +87,11 @@
         return entry.capacity() - online - batch;
     }
 
+    /** Returns the places in use by online requests. */
+    int online() {
+        return online;
+    }
+
     /** Returns the places in use by items of jobs. */
     int batch() {
         return batch;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -51,6 +51,9 @@
     /** The mean time for which an online request holds a place, in nanoseconds. */
     private double holdNanos = HOLD_NANOS_FIRST;
 
+    /** The places that online requests leave. */
+    private final LeftPlaces left = new LeftPlaces();
+
     /** The last target of each prompt. */
     private final Map<Long, String> prompts = new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1L;
@@ -126,19 +129,35 @@
     }
 
     /**
-     * Returns the item of a job that goes next: of those that can still end in time the one that must begin first, else
-     * the one that is late for longest.
+     * Returns the item of a job that goes next: the one whose caller gains most for the time that it holds a place, and
+     * of equal ones the one that must begin first. More items than places thus leave few behind that have begun, and
+     * work goes into those that can still end in time.
      *
      * @param now The present monotonic time in nanoseconds.
      * @return The item, of which there must be one.
      */
     Waiting nextBatch(long now) {
         return batch.stream()
-                .min(Comparator.<Waiting, Boolean>comparing(waiting -> !waiting.onTime(now))
-                        .thenComparingLong(waiting -> waiting.slack(now)))
+                .max(Comparator.<Waiting>comparingDouble(waiting -> waiting.gain(left.part(), now))
+                        .thenComparing(waiting -> waiting.slack(now), Comparator.reverseOrder()))
                 .orElseThrow();
     }
 
+    /** Returns the part of the places that online requests have lately left. */
+    double leftPart() {
+        return left.part();
+    }
+
+    /** Takes in how many places online requests leave now. */
+    void look(long now) {
+        int slots = slots(now) - reserve(now);
+        int online = places.values().stream()
+                .filter(place -> place.usable(now))
+                .mapToInt(Place::online)
+                .sum();
+        left.look(slots <= 0 ? 0 : Math.max(0, slots - online) / (double) slots, now);
+    }
+
     /** Takes in for how long an online request held its place. */
     void held(long nanos) {
         holdNanos += HOLD_WEIGHT * (nanos - holdNanos);
@@ -242,6 +261,16 @@
             return slack(now) >= 0;
         }
 
+        /**
+         * Returns what the caller of an item gains by a place, for the time that the item holds it.
+         *
+         * @param part The part of the places that online requests leave, and so of the time for which an item runs.
+         * @param now The present monotonic time in nanoseconds.
+         */
+        double gain(double part, long now) {
+            return ask.work().gain(slack(now), part);
+        }
+
         /** Returns whether waiting has become useless, or its holder asks no more. */
         boolean expired(long now, long patienceNanos) {
             boolean late = !ask.batch() && now - since > LATE_FACTOR * patience(ask);
--- /dev/null
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Work.java
@@ -0,0 +1,47 @@
+package org.tanagermoor.gateway.dispatch;
+
+/**
+ * The work that is left of an item of a job.
+ *
+ * @param nanos The time for which the item is expected to hold places, in nanoseconds.
+ * @param left The part of its work that is left, from above 0 to 1; 1 for an item that has not begun.
+ */
+public record Work(long nanos, double left) {
+
+    /** The work of which nothing is known. */
+    public static final Work NONE = new Work(0, 1);
+
+    /** What a late result is worth beside one in time: a tenth by the sheets of the users. */
+    private static final double LATE_GAIN = 0.1;
+
+    /** The least part of the work that is left of an item that has not ended. */
+    private static final double LEFT_LEAST = 0.1;
+
+    /** Returns the work that is left of an item. */
+    public static Work of(long nanos, double left) {
+        return new Work(nanos, left);
+    }
+
+    /** Returns the work that is left after the item has run for a time in nanoseconds. */
+    Work after(long ranNanos) {
+        if (nanos <= 0) {
+            return this;
+        }
+        double whole = nanos / left;
+        double rest = Math.max(LEFT_LEAST * whole, (double) (nanos - ranNanos));
+        return new Work((long) rest, rest / whole);
+    }
+
+    /**
+     * Returns what the caller gains by a place, for the time that the item holds it. An item runs only while online
+     * requests leave a place, so it needs more time than its work takes.
+     *
+     * @param slackNanos How long the item can wait and still end in time if it runs without a break, in nanoseconds.
+     * @param leftPart The part of the places that online requests leave.
+     * @return The gain; 1 for an item that has not begun and can end in time.
+     */
+    double gain(long slackNanos, double leftPart) {
+        double breaks = nanos * (1 / leftPart - 1);
+        return (slackNanos >= breaks ? 1 : LATE_GAIN) / left;
+    }
+}
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -12,6 +12,7 @@
 import org.tanagermoor.gateway.dispatch.Ask;
 import org.tanagermoor.gateway.dispatch.PlaceOutcome;
 import org.tanagermoor.gateway.dispatch.Verdict;
+import org.tanagermoor.gateway.dispatch.Work;
 import org.tanagermoor.gateway.fleet.Route;
 import org.tanagermoor.gateway.fleet.RouteKind;
 import org.tanagermoor.gateway.fleet.TargetEntry;
@@ -168,6 +169,7 @@
                                 head.promptKey(),
                                 left,
                                 onTime,
+                                Work.NONE,
                                 false,
                                 returning,
                                 Set.copyOf(excluded)),
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/AskOrder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/AskOrder.java
@@ -4,11 +4,14 @@
 import java.util.Collection;
 import java.util.List;
 
-/** Decides which items of a job ask for a place next. */
+/**
+ * Decides which items of a job ask for a place next: all that have begun, since they need least to end, and a few that
+ * have not.
+ */
 final class AskOrder {
 
-    /** The most items of a job that wait for a place at once. */
-    private static final int ASKING_MOST = 4;
+    /** The most items of a job that have not begun and wait for a place at once. */
+    private static final int FRESH_MOST = 4;
 
     /** Not to be instantiated. */
     private AskOrder() {}
@@ -21,13 +24,14 @@
      * @return The items, in the order in which they are to ask.
      */
     static <T extends Candidate> List<T> next(Collection<T> items) {
-        long asking = items.stream().filter(Candidate::asking).count();
-        List<T> next = new ArrayList<>();
-        for (T item : items) {
-            if (item.idle() && asking + next.size() < ASKING_MOST) {
-                next.add(item);
-            }
-        }
+        List<T> next = new ArrayList<>(
+                items.stream().filter(item -> item.idle() && item.begun()).toList());
+        long fresh =
+                items.stream().filter(item -> item.asking() && !item.begun()).count();
+        items.stream()
+                .filter(item -> item.idle() && !item.begun())
+                .limit(Math.max(0, FRESH_MOST - fresh))
+                .forEach(next::add);
         return next;
     }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemPace.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemPace.java
@@ -1,28 +1,36 @@
 package org.tanagermoor.gateway.job;
 
 import java.util.concurrent.TimeUnit;
+import org.tanagermoor.gateway.dispatch.Work;
 
 /**
- * How long items of jobs run, from those that ran here. It tells by when an item must have a place to end in time, so
- * that on days with more items than places those that can still be in time go first. Not safe for use by several
+ * How long items of jobs run, from those that ran here. It tells by when an item must have a place to end in time, and
+ * how much of its work is left, so that with more items than places those go first that can still end in time and need
+ * least. Not safe for use by several
  * threads.
  */
 public final class ItemPace {
 
-    /** The time that an item runs before one was seen, in nanoseconds: a long answer at a busy engine. */
-    private static final long FIRST_NANOS = TimeUnit.SECONDS.toNanos(6);
+    /** The number of events of an item before one was seen: a long answer. */
+    private static final double EVENTS_FIRST = 250;
+
+    /** The time between two events before any was seen, in nanoseconds: that of a busy engine. */
+    private static final double EVENT_NANOS_FIRST = TimeUnit.MILLISECONDS.toNanos(24);
 
     /** The weight of a new observation in the means. */
     private static final double WEIGHT = 0.1;
 
+    /** The events from which a run says something about the time between two of them: a second of a usual engine. */
+    private static final long RUN_EVENTS_LEAST = 40;
+
     /** The least part of the work that is left of an item that has not ended. */
     private static final double LEFT_LEAST = 0.1;
 
-    /** The mean number of events of an item; 0 before one was seen. */
-    private double events;
+    /** The mean number of events of an item. */
+    private double events = EVENTS_FIRST;
 
     /** The mean time between two events in nanoseconds. */
-    private double eventNanos;
+    private double eventNanos = EVENT_NANOS_FIRST;
 
     /** Creates a pace without observations. */
     private ItemPace() {}
@@ -33,31 +41,34 @@
     }
 
     /**
-     * Takes in an item that ran to its end without a break.
+     * Takes in an item that has ended.
+     *
+     * @param count The number of its events, over all of its runs.
+     */
+    void ended(long count) {
+        events += WEIGHT * (count - events);
+    }
+
+    /**
+     * Takes in a run, also one that was cut.
      *
-     * @param count The number of its events.
-     * @param nanos The time that it ran, in nanoseconds.
+     * @param count The number of its events; a run with few of them says little and is left out.
+     * @param nanos The time that it took, in nanoseconds.
      */
-    void ended(long count, long nanos) {
-        if (count <= 0) {
-            return;
+    void ran(long count, long nanos) {
+        if (count >= RUN_EVENTS_LEAST) {
+            eventNanos += WEIGHT * ((double) nanos / count - eventNanos);
         }
-        double each = (double) nanos / count;
-        events = events == 0 ? count : events + WEIGHT * (count - events);
-        eventNanos = eventNanos == 0 ? each : eventNanos + WEIGHT * (each - eventNanos);
     }
 
     /**
-     * Returns how long an item is expected to run on.
+     * Returns the work that is left of an item.
      *
      * @param lastEvent The number of the last event that it has produced; 0 if it has not begun.
-     * @return The time in nanoseconds.
+     * @return The work.
      */
-    long nanosLeft(long lastEvent) {
-        if (events == 0) {
-            return FIRST_NANOS;
-        }
-        double left = Math.max(LEFT_LEAST, 1 - lastEvent / events);
-        return (long) (left * events * eventNanos);
+    Work left(long lastEvent) {
+        double part = Math.max(LEFT_LEAST, 1 - lastEvent / events);
+        return Work.of((long) (part * events * eventNanos), part);
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -15,6 +15,7 @@
 import org.tanagermoor.gateway.dispatch.Ask;
 import org.tanagermoor.gateway.dispatch.PlaceOutcome;
 import org.tanagermoor.gateway.dispatch.Verdict;
+import org.tanagermoor.gateway.dispatch.Work;
 import org.tanagermoor.gateway.fleet.Route;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.gateway.forward.EventFrames;
@@ -192,6 +193,7 @@
         log.enter(ItemLog.Phase.WAITING, context.time().nanos());
         permit = context.dispatch().nextPermit();
         long asked = permit;
+        Work work = context.pace().left(lastEvent);
         context.runs().put(asked, this);
         context.dispatch()
                 .ask(
@@ -203,7 +205,8 @@
                                 context.domain(),
                                 0,
                                 WAIT_NANOS,
-                                dueNanos - context.pace().nanosLeft(lastEvent),
+                                dueNanos - work.nanos(),
+                                work,
                                 true,
                                 false,
                                 Set.copyOf(excluded)),
@@ -346,9 +349,7 @@
             again(PlaceOutcome.FAILED, RETRY_MILLIS);
             return;
         }
-        if (begunAfter == 0) {
-            context.pace().ended(lastEvent, context.time().nanos() - begunAt);
-        }
+        context.pace().ended(lastEvent);
         finish(new JobResult(item.getId(), true, output.toString()), PlaceOutcome.SERVED);
     }
 
@@ -429,6 +430,9 @@
 
     /** Records the end of the present run, if there is one. */
     private void endRun(ItemLog.RunEnd end, String detail) {
+        if (state == State.RUNNING) {
+            context.pace().ran(lastEvent - begunAfter, context.time().nanos() - begunAt);
+        }
         log.runEnded(
                 end,
                 detail,
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
@@ -145,39 +145,40 @@
       "anagermoor.gateway.PermitAsk\0222\n\007returns\030" +
       "\002 \003(\0132!.tanagermoor.gateway.PermitReturn" +
       "\022\016\n\006resync\030\003 \001(\010\022-\n\004held\030\004 \003(\0132\037.tanager" +
-      "moor.gateway.HeldPermit\"\277\001\n\tPermitAsk\022\016\n" +
+      "moor.gateway.HeldPermit\"\360\001\n\tPermitAsk\022\016\n" +
       "\006permit\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\014\n\004team\030\003" +
       " \001(\t\022\016\n\006domain\030\004 \001(\t\022\022\n\nprompt_key\030\005 \001(\006" +
       "\022\023\n\013wait_millis\030\006 \001(\r\022\026\n\016on_time_millis\030" +
-      "\007 \001(\r\022\r\n\005batch\030\010 \001(\010\022\020\n\010excluded\030\t \003(\t\022\021" +
-      "\n\treturning\030\n \001(\010\"\244\001\n\014PermitReturn\022\016\n\006pe" +
-      "rmit\030\001 \001(\004\022:\n\007outcome\030\002 \001(\0162).tanagermoo" +
-      "r.gateway.PermitReturn.Outcome\"H\n\007Outcom" +
-      "e\022\n\n\006UNUSED\020\000\022\n\n\006SERVED\020\001\022\017\n\013UNREACHABLE" +
-      "\020\002\022\010\n\004FULL\020\003\022\n\n\006FAILED\020\004\"L\n\nHeldPermit\022\016" +
-      "\n\006permit\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\016\n\006targe" +
-      "t\030\003 \001(\t\022\r\n\005batch\030\004 \001(\010\"\314\001\n\014PermitAnswer\022" +
-      "4\n\004kind\030\001 \001(\0162&.tanagermoor.gateway.Perm" +
-      "itAnswer.Kind\022\016\n\006target\030\002 \001(\t\022\032\n\022retry_a" +
-      "fter_millis\030\003 \001(\r\"Z\n\004Kind\022\010\n\004NONE\020\000\022\013\n\007G" +
-      "RANTED\020\001\022\020\n\014RATE_LIMITED\020\002\022\016\n\nOVERLOADED" +
-      "\020\003\022\r\n\tNO_TARGET\020\004\022\n\n\006RESYNC\020\005\"\037\n\014PermitR" +
-      "ecall\022\017\n\007permits\030\001 \003(\004\")\n\nItemHeader\022\014\n\004" +
-      "name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"s\n\007JobItem\022\n\n\002" +
-      "id\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\0220\n\007headers\030\003 \003(\0132" +
-      "\037.tanagermoor.gateway.ItemHeader\022\014\n\004body" +
-      "\030\004 \001(\014\022\016\n\006tokens\030\005 \001(\004\"9\n\nJobContent\022+\n\005" +
-      "items\030\001 \003(\0132\034.tanagermoor.gateway.JobIte" +
-      "m\"\256\001\n\006JobRow\022\n\n\002id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014" +
-      "\n\004host\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022\027\n\017accepted_m" +
-      "illis\030\005 \001(\004\022\r\n\005total\030\006 \001(\r\022\020\n\010recorded\030\007" +
-      " \001(\r\022\r\n\005ended\030\010 \001(\010\022\026\n\016tokens_waiting\030\t " +
-      "\001(\004\022\r\n\005owner\030\n \001(\t\"=\n\nResultPart\022\014\n\004item" +
-      "\030\001 \001(\t\022\021\n\tcompleted\030\002 \001(\010\022\016\n\006output\030\003 \001(" +
-      "\014\"R\n\014ItemProgress\022\014\n\004item\030\001 \001(\t\022\022\n\nlast_" +
-      "event\030\002 \001(\004\022\016\n\006output\030\003 \001(\014\022\020\n\010failures\030" +
-      "\004 \001(\rB!\n\035org.tanagermoor.gateway.protoP\001" +
-      "b\006proto3"
+      "\007 \001(\005\022\r\n\005batch\030\010 \001(\010\022\020\n\010excluded\030\t \003(\t\022\021" +
+      "\n\treturning\030\n \001(\010\022\032\n\022work_done_permille\030" +
+      "\013 \001(\r\022\023\n\013work_millis\030\014 \001(\r\"\244\001\n\014PermitRet" +
+      "urn\022\016\n\006permit\030\001 \001(\004\022:\n\007outcome\030\002 \001(\0162).t" +
+      "anagermoor.gateway.PermitReturn.Outcome\"" +
+      "H\n\007Outcome\022\n\n\006UNUSED\020\000\022\n\n\006SERVED\020\001\022\017\n\013UN" +
+      "REACHABLE\020\002\022\010\n\004FULL\020\003\022\n\n\006FAILED\020\004\"L\n\nHel" +
+      "dPermit\022\016\n\006permit\030\001 \001(\004\022\017\n\007service\030\002 \001(\t" +
+      "\022\016\n\006target\030\003 \001(\t\022\r\n\005batch\030\004 \001(\010\"\314\001\n\014Perm" +
+      "itAnswer\0224\n\004kind\030\001 \001(\0162&.tanagermoor.gat" +
+      "eway.PermitAnswer.Kind\022\016\n\006target\030\002 \001(\t\022\032" +
+      "\n\022retry_after_millis\030\003 \001(\r\"Z\n\004Kind\022\010\n\004NO" +
+      "NE\020\000\022\013\n\007GRANTED\020\001\022\020\n\014RATE_LIMITED\020\002\022\016\n\nO" +
+      "VERLOADED\020\003\022\r\n\tNO_TARGET\020\004\022\n\n\006RESYNC\020\005\"\037" +
+      "\n\014PermitRecall\022\017\n\007permits\030\001 \003(\004\")\n\nItemH" +
+      "eader\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"s\n\007Jo" +
+      "bItem\022\n\n\002id\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\0220\n\007heade" +
+      "rs\030\003 \003(\0132\037.tanagermoor.gateway.ItemHeade" +
+      "r\022\014\n\004body\030\004 \001(\014\022\016\n\006tokens\030\005 \001(\004\"9\n\nJobCo" +
+      "ntent\022+\n\005items\030\001 \003(\0132\034.tanagermoor.gatew" +
+      "ay.JobItem\"\256\001\n\006JobRow\022\n\n\002id\030\001 \001(\t\022\014\n\004tea" +
+      "m\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022\027\n\017a" +
+      "ccepted_millis\030\005 \001(\004\022\r\n\005total\030\006 \001(\r\022\020\n\010r" +
+      "ecorded\030\007 \001(\r\022\r\n\005ended\030\010 \001(\010\022\026\n\016tokens_w" +
+      "aiting\030\t \001(\004\022\r\n\005owner\030\n \001(\t\"=\n\nResultPar" +
+      "t\022\014\n\004item\030\001 \001(\t\022\021\n\tcompleted\030\002 \001(\010\022\016\n\006ou" +
+      "tput\030\003 \001(\014\"R\n\014ItemProgress\022\014\n\004item\030\001 \001(\t" +
+      "\022\022\n\nlast_event\030\002 \001(\004\022\016\n\006output\030\003 \001(\014\022\020\n\010" +
+      "failures\030\004 \001(\rB!\n\035org.tanagermoor.gatewa" +
+      "y.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -230,7 +231,7 @@
     internal_static_tanagermoor_gateway_PermitAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitAsk_descriptor,
-        new java.lang.String[] { "Permit", "Service", "Team", "Domain", "PromptKey", "WaitMillis", "OnTimeMillis", "Batch", "Excluded", "Returning", });
+        new java.lang.String[] { "Permit", "Service", "Team", "Domain", "PromptKey", "WaitMillis", "OnTimeMillis", "Batch", "Excluded", "Returning", "WorkDonePermille", "WorkMillis", });
     internal_static_tanagermoor_gateway_PermitReturn_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_tanagermoor_gateway_PermitReturn_fieldAccessorTable = new
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAsk.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAsk.java
@@ -223,10 +223,10 @@
   private int onTimeMillis_ = 0;
   /**
    * <pre>
-   * The wait after which the answer is late, in milliseconds.
+   * The wait after which the answer is late, in milliseconds; below 0 if it is late anyway.
    * </pre>
    *
-   * <code>uint32 on_time_millis = 7;</code>
+   * <code>int32 on_time_millis = 7;</code>
    * @return The onTimeMillis.
    */
   @java.lang.Override
@@ -293,6 +293,36 @@
     return returning_;
   }
 
+  public static final int WORK_DONE_PERMILLE_FIELD_NUMBER = 11;
+  private int workDonePermille_ = 0;
+  /**
+   * <pre>
+   * The part of its work that is done, in thousandths.
+   * </pre>
+   *
+   * <code>uint32 work_done_permille = 11;</code>
+   * @return The workDonePermille.
+   */
+  @java.lang.Override
+  public int getWorkDonePermille() {
+    return workDonePermille_;
+  }
+
+  public static final int WORK_MILLIS_FIELD_NUMBER = 12;
+  private int workMillis_ = 0;
+  /**
+   * <pre>
+   * The time for which it is expected to hold places, in milliseconds.
+   * </pre>
+   *
+   * <code>uint32 work_millis = 12;</code>
+   * @return The workMillis.
+   */
+  @java.lang.Override
+  public int getWorkMillis() {
+    return workMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -326,7 +356,7 @@
       output.writeUInt32(6, waitMillis_);
     }
     if (onTimeMillis_ != 0) {
-      output.writeUInt32(7, onTimeMillis_);
+      output.writeInt32(7, onTimeMillis_);
     }
     if (batch_ != false) {
       output.writeBool(8, batch_);
@@ -337,6 +367,12 @@
     if (returning_ != false) {
       output.writeBool(10, returning_);
     }
+    if (workDonePermille_ != 0) {
+      output.writeUInt32(11, workDonePermille_);
+    }
+    if (workMillis_ != 0) {
+      output.writeUInt32(12, workMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -364,7 +400,7 @@
     }
     if (onTimeMillis_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(7, onTimeMillis_);
+        .computeInt32Size(7, onTimeMillis_);
     }
     if (batch_ != false) {
       size += com.google.protobuf.CodedOutputStream
@@ -382,6 +418,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(10, returning_);
     }
+    if (workDonePermille_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(11, workDonePermille_);
+    }
+    if (workMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(12, workMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -426,6 +470,10 @@
         .equals(other.getExcludedList())) return false;
     if (getReturning()
         != other.getReturning()) return false;
+    if (getWorkDonePermille()
+        != other.getWorkDonePermille()) return false;
+    if (getWorkMillis()
+        != other.getWorkMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -463,6 +511,10 @@
     hash = (37 * hash) + RETURNING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getReturning());
+    hash = (37 * hash) + WORK_DONE_PERMILLE_FIELD_NUMBER;
+    hash = (53 * hash) + getWorkDonePermille();
+    hash = (37 * hash) + WORK_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getWorkMillis();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -605,6 +657,8 @@
       excluded_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       returning_ = false;
+      workDonePermille_ = 0;
+      workMillis_ = 0;
       return this;
     }
 
@@ -669,6 +723,12 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.returning_ = returning_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.workDonePermille_ = workDonePermille_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.workMillis_ = workMillis_;
+      }
     }
 
     @java.lang.Override
@@ -726,6 +786,12 @@
       if (other.getReturning() != false) {
         setReturning(other.getReturning());
       }
+      if (other.getWorkDonePermille() != 0) {
+        setWorkDonePermille(other.getWorkDonePermille());
+      }
+      if (other.getWorkMillis() != 0) {
+        setWorkMillis(other.getWorkMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -781,7 +847,7 @@
               break;
             } // case 48
             case 56: {
-              onTimeMillis_ = input.readUInt32();
+              onTimeMillis_ = input.readInt32();
               bitField0_ |= 0x00000040;
               break;
             } // case 56
@@ -800,6 +866,16 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 80
+            case 88: {
+              workDonePermille_ = input.readUInt32();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
+            case 96: {
+              workMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1176,10 +1252,10 @@
     private int onTimeMillis_ ;
     /**
      * <pre>
-     * The wait after which the answer is late, in milliseconds.
+     * The wait after which the answer is late, in milliseconds; below 0 if it is late anyway.
      * </pre>
      *
-     * <code>uint32 on_time_millis = 7;</code>
+     * <code>int32 on_time_millis = 7;</code>
      * @return The onTimeMillis.
      */
     @java.lang.Override
@@ -1188,10 +1264,10 @@
     }
     /**
      * <pre>
-     * The wait after which the answer is late, in milliseconds.
+     * The wait after which the answer is late, in milliseconds; below 0 if it is late anyway.
      * </pre>
      *
-     * <code>uint32 on_time_millis = 7;</code>
+     * <code>int32 on_time_millis = 7;</code>
      * @param value The onTimeMillis to set.
      * @return This builder for chaining.
      */
@@ -1204,10 +1280,10 @@
     }
     /**
      * <pre>
-     * The wait after which the answer is late, in milliseconds.
+     * The wait after which the answer is late, in milliseconds; below 0 if it is late anyway.
      * </pre>
      *
-     * <code>uint32 on_time_millis = 7;</code>
+     * <code>int32 on_time_millis = 7;</code>
      * @return This builder for chaining.
      */
     public Builder clearOnTimeMillis() {
@@ -1392,6 +1468,94 @@
       return this;
     }
 
+    private int workDonePermille_ ;
+    /**
+     * <pre>
+     * The part of its work that is done, in thousandths.
+     * </pre>
+     *
+     * <code>uint32 work_done_permille = 11;</code>
+     * @return The workDonePermille.
+     */
+    @java.lang.Override
+    public int getWorkDonePermille() {
+      return workDonePermille_;
+    }
+    /**
+     * <pre>
+     * The part of its work that is done, in thousandths.
+     * </pre>
+     *
+     * <code>uint32 work_done_permille = 11;</code>
+     * @param value The workDonePermille to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkDonePermille(int value) {
+
+      workDonePermille_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The part of its work that is done, in thousandths.
+     * </pre>
+     *
+     * <code>uint32 work_done_permille = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkDonePermille() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      workDonePermille_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int workMillis_ ;
+    /**
+     * <pre>
+     * The time for which it is expected to hold places, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 work_millis = 12;</code>
+     * @return The workMillis.
+     */
+    @java.lang.Override
+    public int getWorkMillis() {
+      return workMillis_;
+    }
+    /**
+     * <pre>
+     * The time for which it is expected to hold places, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 work_millis = 12;</code>
+     * @param value The workMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkMillis(int value) {
+
+      workMillis_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The time for which it is expected to hold places, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 work_millis = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkMillis() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      workMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.PermitAsk)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAskOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAskOrBuilder.java
@@ -82,10 +82,10 @@
 
   /**
    * <pre>
-   * The wait after which the answer is late, in milliseconds.
+   * The wait after which the answer is late, in milliseconds; below 0 if it is late anyway.
    * </pre>
    *
-   * <code>uint32 on_time_millis = 7;</code>
+   * <code>int32 on_time_millis = 7;</code>
    * @return The onTimeMillis.
    */
   int getOnTimeMillis();
@@ -126,4 +126,24 @@
    * @return The returning.
    */
   boolean getReturning();
+
+  /**
+   * <pre>
+   * The part of its work that is done, in thousandths.
+   * </pre>
+   *
+   * <code>uint32 work_done_permille = 11;</code>
+   * @return The workDonePermille.
+   */
+  int getWorkDonePermille();
+
+  /**
+   * <pre>
+   * The time for which it is expected to hold places, in milliseconds.
+   * </pre>
+   *
+   * <code>uint32 work_millis = 12;</code>
+   * @return The workMillis.
+   */
+  int getWorkMillis();
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchClientTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchClientTest.java
@@ -325,7 +325,19 @@
             long permit = client.nextPermit();
             long wait = TimeUnit.SECONDS.toNanos(20);
             client.ask(
-                    new Ask(client.self(), permit, "s", team, "lisbon", 0, wait, wait, batch, false, Set.of()),
+                    new Ask(
+                            client.self(),
+                            permit,
+                            "s",
+                            team,
+                            "lisbon",
+                            0,
+                            wait,
+                            wait,
+                            Work.NONE,
+                            batch,
+                            false,
+                            Set.of()),
                     verdict -> {
                         verdicts.add(verdict);
                         if (verdict instanceof Verdict.Granted) {
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherFixture.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherFixture.java
@@ -95,13 +95,26 @@
     static Ask item(long permit, long beginMillis) {
         Ask ask = ask(permit, true, 10_000, "");
         long nanos = TimeUnit.MILLISECONDS.toNanos(beginMillis);
-        return new Ask("x", permit, SERVICE, "", ask.domain(), 0, ask.waitNanos(), nanos, true, false, Set.of());
+        return new Ask(
+                "x", permit, SERVICE, "", ask.domain(), 0, ask.waitNanos(), nanos, Work.NONE, true, false, Set.of());
     }
 
     /** Returns the ask of an online request that an instance in a failure domain has. */
     static Ask inDomain(long permit, String domain) {
         Ask ask = online(permit);
-        return new Ask("x", permit, SERVICE, "", domain, 0, ask.waitNanos(), ask.onTimeNanos(), false, false, Set.of());
+        return new Ask(
+                "x",
+                permit,
+                SERVICE,
+                "",
+                domain,
+                0,
+                ask.waitNanos(),
+                ask.onTimeNanos(),
+                Work.NONE,
+                false,
+                false,
+                Set.of());
     }
 
     /** Returns the ask of a caller that comes back. */
@@ -116,6 +129,7 @@
                 0,
                 ask.waitNanos(),
                 ask.onTimeNanos(),
+                Work.NONE,
                 false,
                 true,
                 Set.of());
@@ -142,6 +156,7 @@
                 0,
                 TimeUnit.MILLISECONDS.toNanos(waitMillis),
                 TimeUnit.MILLISECONDS.toNanos(240),
+                Work.NONE,
                 batch,
                 false,
                 excluded);
--- /dev/null
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/WorkTest.java
@@ -0,0 +1,55 @@
+package org.tanagermoor.gateway.dispatch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.is;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Tests of what a caller gains by the work that is left of an item. */
+final class WorkTest {
+
+    /** The tolerance of fractions. */
+    private static final double TOLERANCE = 1e-9;
+
+    /** A result in time is worth ten late ones, and an item that needs half as long gains twice as much for its time. */
+    @ParameterizedTest
+    @CsvSource({"5000, 1.0, 0, 1.0, 1.0", "2500, 0.5, 0, 1.0, 2.0", "5000, 1.0, -1, 1.0, 0.1", "500, 0.1, -1, 1.0, 1.0"
+    })
+    void gainsMoreInTimeAndWithLessLeft(long millis, double left, long slackMillis, double leftPart, double gain) {
+        assertThat(work(millis, left).gain(nanos(slackMillis), leftPart), is(closeTo(gain, TOLERANCE)));
+    }
+
+    /** An item that runs half of the time, as online requests leave it half of the places, needs twice as long. */
+    @ParameterizedTest
+    @CsvSource({"5001, 1.0", "4999, 0.1"})
+    void isLateIfBreaksMakeItLate(long slackMillis, double gain) {
+        assertThat(work(5_000, 1).gain(nanos(slackMillis), 0.5), is(closeTo(gain, TOLERANCE)));
+    }
+
+    /** Work shrinks while an item runs; one that runs longer than expected still needs a little. */
+    @ParameterizedTest
+    @CsvSource({"0, 0.5", "2000, 0.3", "4000, 0.1", "9000, 0.1"})
+    void shrinksWhileTheItemRuns(long ranMillis, double left) {
+        assertThat(work(5_000, 0.5).after(nanos(ranMillis)).left(), is(closeTo(left, TOLERANCE)));
+    }
+
+    /** Work of which nothing is known stays unknown. */
+    @ParameterizedTest
+    @CsvSource({"0", "9000"})
+    void staysUnknown(long ranMillis) {
+        assertThat(Work.NONE.after(nanos(ranMillis)), is(Work.NONE));
+    }
+
+    /** Returns work. */
+    private static Work work(long millis, double left) {
+        return Work.of(nanos(millis), left);
+    }
+
+    /** Returns nanoseconds. */
+    private static long nanos(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+}
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobLoad.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobLoad.java
@@ -14,6 +14,7 @@
 import org.tanagermoor.gateway.dispatch.PlaceOutcome;
 import org.tanagermoor.gateway.dispatch.TeamRates;
 import org.tanagermoor.gateway.dispatch.Verdict;
+import org.tanagermoor.gateway.dispatch.Work;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.kernel.setting.Address;
 
@@ -225,7 +226,8 @@
     /** Asks for places for items of a job, and asks again for those that wait. */
     private void proceed(Map<Integer, Item> items) {
         for (Item item : AskOrder.next(items.values())) {
-            item.ask = ask(++lastPermit, item.due - now - pace.nanosLeft(item.done), true);
+            Work work = pace.left(item.done);
+            item.ask = ask(++lastPermit, item.due - now - work.nanos(), work, true);
             permits.put(lastPermit, item);
             ask(item);
         }
@@ -246,15 +248,15 @@
     /** Asks for a place for an online request. */
     private void askOnline() {
         asked++;
-        Ask ask = ask(++lastPermit, ON_TIME_NANOS, false);
+        Ask ask = ask(++lastPermit, ON_TIME_NANOS, Work.NONE, false);
         onlineSince.put(lastPermit, now);
         dispatcher.ask(ask, now).ifPresent(verdict -> decided(ask, verdict));
     }
 
     /** Returns an ask. */
-    private static Ask ask(long permit, long onTimeNanos, boolean batch) {
+    private static Ask ask(long permit, long onTimeNanos, Work work, boolean batch) {
         long wait = TimeUnit.SECONDS.toNanos(batch ? 10 : 5);
-        return new Ask(HOLDER, permit, SERVICE, "", "lisbon-a", 0, wait, onTimeNanos, batch, false, Set.of());
+        return new Ask(HOLDER, permit, SERVICE, "", "lisbon-a", 0, wait, onTimeNanos, work, batch, false, Set.of());
     }
 
     /** Takes a verdict. */
@@ -291,9 +293,8 @@
         for (Item item : List.copyOf(permits.values())) {
             if (item.runsSince > 0 && item.done + produced(item) >= item.events) {
                 long permit = item.ask.permit();
-                if (item.done == 0) {
-                    pace.ended(item.events, now - item.runsSince);
-                }
+                pace.ended(item.events);
+                pace.ran(item.events - item.done, now - item.runsSince);
                 item.done = item.events;
                 item.doneAt = now;
                 jobs.get(item.job).remove(item.index);
@@ -307,6 +308,7 @@
         for (Item item : List.copyOf(permits.values())) {
             if (item.recalled) {
                 item.recalled = false;
+                pace.ran(produced(item), now - item.runsSince);
                 item.done += produced(item);
                 end(item, PlaceOutcome.UNUSED, item.ask.permit());
             }
