--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -31,9 +31,6 @@
     /** The age from which a permit that its holder does not know of is taken back, in nanoseconds: two round trips. */
     private static final long RESYNC_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    /** The time until a recalled item of a job has given its place up, in nanoseconds: a few round trips. */
-    private static final double RECALL_WAIT_NANOS = 20e6;
-
     /** The least time after which a refused caller is told to come back, in milliseconds. */
     private static final long RETRY_MILLIS_LEAST = 50;
 
@@ -284,7 +281,7 @@
         long before =
                 queue.online().stream().filter(waiting -> waiting.onTime(now)).count();
         long position = before + 1 - queue.batchPlaces();
-        return position <= 0 ? RECALL_WAIT_NANOS : position * queue.holdNanos() / (queue.slots(now) + 1);
+        return position <= 0 ? ServiceQueue.RECALL_NANOS : position * queue.holdNanos() / (queue.slots(now) + 1);
     }
 
     /** Gives out free places: to online requests that can be on time, to late ones, then to items of jobs. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/LeftPlaces.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/LeftPlaces.java
@@ -8,14 +8,17 @@
  */
 final class LeftPlaces {
 
-    /** The time in which an observation loses half of its weight, in nanoseconds: about the run of an item. */
-    private static final double HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(6);
+    /** The time in which an observation loses half of its weight, in nanoseconds: a few bursts of online requests. */
+    private static final double HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(15);
 
     /** The least part, so that a burst does not make every item hopeless. */
     private static final double PART_LEAST = 0.2;
 
-    /** The weighted mean of the part. */
-    private double part = 1;
+    /** The sum of the observed parts by their weights. */
+    private double sum;
+
+    /** The sum of the weights. */
+    private double weights;
 
     /** The part at the last look. */
     private double last = 1;
@@ -35,7 +38,8 @@
     void look(double value, long now) {
         if (at != 0) {
             double kept = Math.pow(0.5, Math.max(0, now - at) / HALF_LIFE_NANOS);
-            part = part * kept + last * (1 - kept);
+            sum = sum * kept + last * (1 - kept);
+            weights = weights * kept + 1 - kept;
         }
         last = value;
         at = now;
@@ -43,6 +47,6 @@
 
     /** Returns the part of the places that online requests have lately left, from a least part to 1. */
     double part() {
-        return Math.max(PART_LEAST, part);
+        return weights == 0 ? 1 : Math.max(PART_LEAST, sum / weights);
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -12,8 +12,8 @@
 /** The targets of a service and what waits for them. */
 final class ServiceQueue {
 
-    /** The part of all places that items of jobs leave free, so that an online request finds one at once. */
-    private static final double RESERVE_PART = 0.08;
+    /** The time until a recalled item of a job has given its place up, in nanoseconds: a few round trips. */
+    static final double RECALL_NANOS = 20e6;
 
     /**
      * How long a caller that came back once may wait, in nanoseconds: a late answer is worth more to it than none, but
@@ -208,9 +208,9 @@
         }
     }
 
-    /** Returns the places that items of jobs leave free. */
+    /** Returns the places that items of jobs leave free: as many as a full load of requests needs within a recall. */
     int reserve(long now) {
-        return (int) Math.ceil(slots(now) * RESERVE_PART);
+        return (int) Math.ceil(slots(now) * 0.08);
     }
 
     /** Returns the last target of the prompt of a request. */
