Leave as many places free of items as online requests need within a recall

What callers saw: items waited while 3 of 32 places stood free between bursts, a sixth of what online requests left.

Cause: the reserve was a part of all places (0.08), not what it is for: online requests that arrive while a place is recalled. Change: the reserve is the time of a recall times the rate at which requests fill all places (20 ms of 0.7 s).

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -210,7 +210,7 @@
 
     /** Returns the places that items of jobs leave free: as many as a full load of requests needs within a recall. */
     int reserve(long now) {
-        return (int) Math.ceil(slots(now) * 0.08);
+        return (int) Math.ceil(slots(now) * RECALL_NANOS / holdNanos);
     }
 
     /** Returns the last target of the prompt of a request. */
