--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Ask.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Ask.java
@@ -30,4 +30,22 @@
         Work work,
         boolean batch,
         boolean returning,
-        Set<String> excluded) {}
+        Set<String> excluded) {
+
+    /** Returns this request as it asks when it has waited for a time in nanoseconds. */
+    Ask after(long waitedNanos) {
+        return new Ask(
+                holder,
+                permit,
+                service,
+                team,
+                domain,
+                promptKey,
+                waitNanos - waitedNanos,
+                onTimeNanos - waitedNanos,
+                work,
+                batch,
+                returning,
+                excluded);
+    }
+}
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
@@ -91,6 +91,9 @@
     /** The returned permits that the dispatcher was not told of. */
     private final Map<Long, PlaceOutcome> returns = new HashMap<>();
 
+    /** The part of the places that online requests leave, by service, as a dispatcher has last told it. */
+    private final Map<String, Double> leftParts = new HashMap<>();
+
     /** The dispatcher that was last asked, or {@code null}. */
     @Nullable
     private Instance last;
@@ -179,7 +182,7 @@
      * @param answer Takes the verdict.
      */
     public void ask(Ask ask, Consumer<Verdict> answer) {
-        Use use = new Use(ask, answer);
+        Use use = new Use(ask, answer, time.nanos());
         uses.put(ask.permit(), use);
         request(use);
     }
@@ -220,6 +223,7 @@
         changedAt = now;
         returns.clear();
         if (dispatching) {
+            own.dispatcher().begin(leftParts);
             List<Use> asking = uses.values().stream()
                     .filter(use -> !use.local && use.target.isEmpty())
                     .toList();
@@ -291,13 +295,13 @@
     /** Asks the dispatcher of this instance. */
     private void decideHere(Use use) {
         use.local = true;
-        own.ask(use.ask, answer -> answered(use, answer));
+        own.ask(use.askNow(time.nanos()), answer -> answered(use, answer));
     }
 
     /** Asks the dispatcher of the fleet. */
     private void send(Instance dispatcher, Use use, boolean resync) {
         use.local = false;
-        PermitCall.Builder call = PermitCall.newBuilder().setAsk(DispatchCodec.toMessage(use.ask));
+        PermitCall.Builder call = PermitCall.newBuilder().setAsk(DispatchCodec.toMessage(use.askNow(time.nanos())));
         call(dispatcher, call, resync, result -> {
             if (uses.get(use.ask.permit()) != use || use.local) {
                 return;
@@ -350,9 +354,11 @@
         if (uses.get(use.ask.permit()) != use || !use.target.isEmpty()) {
             return;
         }
+        DispatchCodec.leftPart(answer).ifPresent(part -> leftParts.put(use.ask.service(), part));
         switch (answer.getKind()) {
             case GRANTED -> {
                 use.target = answer.getTarget();
+                use.grantedAt = time.nanos();
                 use.answer.accept(new Verdict.Granted(answer.getTarget()));
             }
             case RATE_LIMITED, OVERLOADED, NO_TARGET -> finish(use, DispatchCodec.refusal(answer));
@@ -409,7 +415,7 @@
         List<Dispatcher.HeldPlace> result = new ArrayList<>();
         uses.values().forEach(use -> {
             if (!use.target.isEmpty()) {
-                result.add(new Dispatcher.HeldPlace(use.ask.permit(), use.ask.service(), use.target, use.ask.batch()));
+                result.add(use.place(time.nanos()));
             }
         });
         return result;
@@ -439,6 +445,12 @@
         /** Takes the verdict. */
         private final Consumer<Verdict> answer;
 
+        /** The monotonic time of the ask in nanoseconds. */
+        private final long askedAt;
+
+        /** The monotonic time of the grant in nanoseconds, if there is a target. */
+        private long grantedAt;
+
         /** The identity of the target; empty while there is none. */
         private String target = "";
 
@@ -446,9 +458,26 @@
         private boolean local;
 
         /** Creates an ask without a place. */
-        Use(Ask ask, Consumer<Verdict> answer) {
+        Use(Ask ask, Consumer<Verdict> answer, long askedAt) {
             this.ask = ask;
             this.answer = answer;
+            this.askedAt = askedAt;
+        }
+
+        /** Returns the ask as it is after the time that it has waited. */
+        private Ask askNow(long now) {
+            return ask.after(now - askedAt);
+        }
+
+        /** Returns the place in use. */
+        private Dispatcher.HeldPlace place(long now) {
+            return new Dispatcher.HeldPlace(
+                    ask.permit(),
+                    ask.service(),
+                    target,
+                    ask.batch(),
+                    ask.onTimeNanos() - (grantedAt - askedAt),
+                    ask.work().after(now - grantedAt));
         }
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchCodec.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchCodec.java
@@ -1,11 +1,13 @@
 package org.tanagermoor.gateway.dispatch;
 
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.tanagermoor.gateway.proto.HeldPermit;
 import org.tanagermoor.gateway.proto.PermitAnswer;
 import org.tanagermoor.gateway.proto.PermitAsk;
 import org.tanagermoor.gateway.proto.PermitReturn;
+import org.tanagermoor.gateway.proto.PermitWork;
 
 /** Writes and reads the messages about places. */
 final class DispatchCodec {
@@ -26,8 +28,7 @@
                 .setPromptKey(ask.promptKey())
                 .setWaitMillis((int) TimeUnit.NANOSECONDS.toMillis(ask.waitNanos()))
                 .setOnTimeMillis((int) TimeUnit.NANOSECONDS.toMillis(ask.onTimeNanos()))
-                .setWorkMillis((int) TimeUnit.NANOSECONDS.toMillis(ask.work().nanos()))
-                .setWorkDonePermille((int) Math.round(PERMILLE * (1 - ask.work().left())))
+                .setWork(toMessage(ask.work()))
                 .setBatch(ask.batch())
                 .setReturning(ask.returning())
                 .addAllExcluded(ask.excluded())
@@ -45,17 +46,15 @@
                 message.getPromptKey(),
                 TimeUnit.MILLISECONDS.toNanos(message.getWaitMillis()),
                 TimeUnit.MILLISECONDS.toNanos(message.getOnTimeMillis()),
-                Work.of(
-                        TimeUnit.MILLISECONDS.toNanos(message.getWorkMillis()),
-                        1 - message.getWorkDonePermille() / PERMILLE),
+                fromMessage(message.getWork()),
                 message.getBatch(),
                 message.getReturning(),
                 Set.copyOf(message.getExcludedList()));
     }
 
-    /** Writes a verdict. */
-    static PermitAnswer toMessage(Verdict verdict) {
-        PermitAnswer.Builder answer = PermitAnswer.newBuilder();
+    /** Writes a verdict and the part of the places of the service that online requests leave. */
+    static PermitAnswer toMessage(Verdict verdict, double leftPart) {
+        PermitAnswer.Builder answer = PermitAnswer.newBuilder().setLeftPermille((int) Math.round(PERMILLE * leftPart));
         return switch (verdict) {
             case Verdict.Granted granted ->
                 answer.setKind(PermitAnswer.Kind.GRANTED)
@@ -79,6 +78,13 @@
         return new Verdict.Refused(reason, message.getRetryAfterMillis());
     }
 
+    /** Reads the part of the places that online requests leave, if it is told. */
+    static OptionalDouble leftPart(PermitAnswer message) {
+        return message.getLeftPermille() == 0
+                ? OptionalDouble.empty()
+                : OptionalDouble.of(message.getLeftPermille() / PERMILLE);
+    }
+
     /** Writes the outcome of a place. */
     static PermitReturn.Outcome toMessage(PlaceOutcome outcome) {
         return switch (outcome) {
@@ -108,13 +114,33 @@
                 .setService(place.service())
                 .setTarget(place.target())
                 .setBatch(place.batch())
+                .setOnTimeMillis((int) TimeUnit.NANOSECONDS.toMillis(place.slackNanos()))
+                .setWork(toMessage(place.work()))
                 .build();
     }
 
     /** Reads a place in use. */
     static Dispatcher.HeldPlace fromMessage(HeldPermit message) {
         return new Dispatcher.HeldPlace(
-                message.getPermit(), message.getService(), message.getTarget(), message.getBatch());
+                message.getPermit(),
+                message.getService(),
+                message.getTarget(),
+                message.getBatch(),
+                TimeUnit.MILLISECONDS.toNanos(message.getOnTimeMillis()),
+                fromMessage(message.getWork()));
+    }
+
+    /** Writes the work that is left. */
+    private static PermitWork toMessage(Work work) {
+        return PermitWork.newBuilder()
+                .setMillis((int) TimeUnit.NANOSECONDS.toMillis(work.nanos()))
+                .setDonePermille((int) Math.round(PERMILLE * (1 - work.left())))
+                .build();
+    }
+
+    /** Reads the work that is left. */
+    private static Work fromMessage(PermitWork message) {
+        return Work.of(TimeUnit.MILLISECONDS.toNanos(message.getMillis()), 1 - message.getDonePermille() / PERMILLE);
     }
 
     /** Returns the kind of answer for a refusal. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
@@ -90,7 +90,7 @@
     void ask(Ask ask, Consumer<PermitAnswer> answer) {
         Optional<Verdict> verdict = dispatcher.ask(ask, time.nanos());
         if (verdict.isPresent()) {
-            answer.accept(DispatchCodec.toMessage(verdict.get()));
+            answer.accept(toMessage(ask, verdict.get()));
             return;
         }
         lookAgain();
@@ -141,7 +141,7 @@
     public void decided(Ask ask, Verdict verdict) {
         Consumer<PermitAnswer> answer = waiting.remove(key(ask.holder(), ask.permit()));
         if (answer != null) {
-            answer.accept(DispatchCodec.toMessage(verdict));
+            answer.accept(toMessage(ask, verdict));
         }
     }
 
@@ -204,6 +204,11 @@
         }
     }
 
+    /** Writes a verdict, with what the next dispatcher needs to know. */
+    private PermitAnswer toMessage(Ask ask, Verdict verdict) {
+        return DispatchCodec.toMessage(verdict, dispatcher.leftPart(ask.service()));
+    }
+
     /** Returns the key of an ask. */
     private static String key(String holder, long permit) {
         return holder + "/" + permit;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -96,6 +96,21 @@
         services.values().forEach(queue -> drain(queue, now));
     }
 
+    /** Returns the part of the places that online requests of a service have lately left to items of jobs. */
+    public double leftPart(String service) {
+        return queue(service).leftPart();
+    }
+
+    /**
+     * Begins to decide, after another dispatcher or none.
+     *
+     * @param leftParts The part of the places that online requests leave, by service, as it was last told.
+     */
+    public void begin(Map<String, Double> leftParts) {
+        services.forEach((name, queue) -> queue.expectLeft(
+                leftParts.containsKey(name) ? LeftPlaces.after(leftParts.get(name)) : LeftPlaces.of()));
+    }
+
     /**
      * Decides on a request, or queues it.
      *
@@ -174,7 +189,7 @@
         }
         for (HeldPlace permit : permits) {
             if (!known.containsKey(permit.permit())) {
-                known.put(permit.permit(), new Held(holder, permit, "", 0, Work.NONE, now));
+                known.put(permit.permit(), new Held(holder, permit, "", now));
                 Place place = queue(permit.service()).places().get(permit.target());
                 if (place != null) {
                     place.count(permit.batch(), 1);
@@ -349,9 +364,9 @@
         place.take(ask.batch(), now);
         queue.remember(ask, place);
         HeldPlace permit =
-                new HeldPlace(ask.permit(), ask.service(), place.entry().id(), ask.batch());
+                new HeldPlace(ask.permit(), ask.service(), place.entry().id(), ask.batch(), slack, ask.work());
         held.computeIfAbsent(ask.holder(), holder -> new HashMap<>())
-                .put(ask.permit(), new Held(ask.holder(), permit, ask.domain(), slack, ask.work(), now));
+                .put(ask.permit(), new Held(ask.holder(), permit, ask.domain(), now));
         return new Verdict.Granted(place.entry().id());
     }
 
@@ -400,8 +415,10 @@
      * @param service The name of the service.
      * @param target The identity of the target.
      * @param batch Whether an item of a job uses it.
+     * @param slackNanos How long the request could wait on and be on time, in nanoseconds; below 0 if it is late.
+     * @param work The work that is left of an item of a job.
      */
-    public record HeldPlace(long permit, String service, String target, boolean batch) {}
+    public record HeldPlace(long permit, String service, String target, boolean batch, long slackNanos, Work work) {}
 
     /** A place in use. */
     private static final class Held {
@@ -434,11 +451,11 @@
         private final long since;
 
         /** Creates a place in use. */
-        Held(String holder, HeldPlace place, String domain, long slack, Work work, long since) {
+        Held(String holder, HeldPlace place, String domain, long since) {
             this.holder = holder;
             this.domain = domain;
-            this.slack = slack;
-            this.work = work;
+            slack = place.slackNanos();
+            work = place.work();
             permit = place.permit();
             service = place.service();
             target = place.target();
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/LeftPlaces.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/LeftPlaces.java
@@ -8,6 +8,12 @@
  */
 final class LeftPlaces {
 
+    /** The part that is expected before anything was seen: bursts take the places for less than half of the time. */
+    private static final double PART_FIRST = 0.7;
+
+    /** The weight of that part: that of three seconds of looks. */
+    private static final double WEIGHT_FIRST = 0.13;
+
     /** The time in which an observation loses half of its weight, in nanoseconds: a few bursts of online requests. */
     private static final double HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(15);
 
@@ -17,17 +23,30 @@
     /** The sum of the observed parts by their weights. */
     private double sum;
 
-    /** The sum of the weights. */
+    /** The sum of the weights, 1 at most. */
     private double weights;
 
     /** The part at the last look. */
-    private double last = 1;
+    private double last;
 
     /** The monotonic time of the last look in nanoseconds; 0 before the first. */
     private long at;
 
-    /** Creates an observer that has seen no online request. */
-    LeftPlaces() {}
+    /** Creates an observer that expects a part with a weight. */
+    private LeftPlaces(double part, double weight) {
+        sum = part * weight;
+        weights = weight;
+    }
+
+    /** Returns an observer that has seen nothing. */
+    static LeftPlaces of() {
+        return new LeftPlaces(PART_FIRST, WEIGHT_FIRST);
+    }
+
+    /** Returns an observer that goes on from what another one has seen. */
+    static LeftPlaces after(double part) {
+        return new LeftPlaces(part, 1);
+    }
 
     /**
      * Takes in the part that is left from now on.
@@ -47,6 +66,6 @@
 
     /** Returns the part of the places that online requests have lately left, from a least part to 1. */
     double part() {
-        return weights == 0 ? 1 : Math.max(PART_LEAST, sum / weights);
+        return Math.max(PART_LEAST, sum / weights);
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -52,7 +52,7 @@
     private double holdNanos = HOLD_NANOS_FIRST;
 
     /** The places that online requests leave. */
-    private final LeftPlaces left = new LeftPlaces();
+    private LeftPlaces left = LeftPlaces.of();
 
     /** The last target of each prompt. */
     private final Map<Long, String> prompts = new LinkedHashMap<>(64, 0.75f, true) {
@@ -148,6 +148,11 @@
         return left.part();
     }
 
+    /** Goes on from which part of the places online requests have left by another observer, or from nothing. */
+    void expectLeft(LeftPlaces value) {
+        left = value;
+    }
+
     /** Takes in how many places online requests leave now. */
     void look(long now) {
         int slots = slots(now) - reserve(now);
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Work.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Work.java
@@ -34,15 +34,19 @@
 
     /**
      * Returns what the caller gains by a place, for the time that the item holds it. An item runs only while online
-     * requests leave a place. One that has not begun counts as in time only if it is with the breaks to be expected; a
-     * begun one goes before it, and counts as in time while it can be.
+     * requests leave a place. One that has not begun counts by its chance to end in time with the breaks to be expected.
+     * One that has begun goes before it, and counts as in time while it can be.
      *
      * @param slackNanos How long the item can wait and still end in time if it runs without a break, in nanoseconds.
      * @param leftPart The part of the places that online requests leave.
      * @return The gain; 1 for an item that has not begun and can end in time.
      */
     double gain(long slackNanos, double leftPart) {
+        if (slackNanos < 0) {
+            return LATE_GAIN / left;
+        }
         double breaks = left < 1 ? 0 : nanos * (1 / leftPart - 1);
-        return (slackNanos >= breaks ? 1 : LATE_GAIN) / left;
+        double chance = slackNanos >= breaks ? 1 : slackNanos / breaks;
+        return (LATE_GAIN + (1 - LATE_GAIN) * chance) / left;
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
@@ -66,6 +66,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tanagermoor_gateway_PermitAsk_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagermoor_gateway_PermitWork_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagermoor_gateway_PermitWork_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_tanagermoor_gateway_PermitReturn_descriptor;
   static final 
@@ -145,40 +150,44 @@
       "anagermoor.gateway.PermitAsk\0222\n\007returns\030" +
       "\002 \003(\0132!.tanagermoor.gateway.PermitReturn" +
       "\022\016\n\006resync\030\003 \001(\010\022-\n\004held\030\004 \003(\0132\037.tanager" +
-      "moor.gateway.HeldPermit\"\360\001\n\tPermitAsk\022\016\n" +
+      "moor.gateway.HeldPermit\"\356\001\n\tPermitAsk\022\016\n" +
       "\006permit\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\014\n\004team\030\003" +
       " \001(\t\022\016\n\006domain\030\004 \001(\t\022\022\n\nprompt_key\030\005 \001(\006" +
       "\022\023\n\013wait_millis\030\006 \001(\r\022\026\n\016on_time_millis\030" +
       "\007 \001(\005\022\r\n\005batch\030\010 \001(\010\022\020\n\010excluded\030\t \003(\t\022\021" +
-      "\n\treturning\030\n \001(\010\022\032\n\022work_done_permille\030" +
-      "\013 \001(\r\022\023\n\013work_millis\030\014 \001(\r\"\244\001\n\014PermitRet" +
-      "urn\022\016\n\006permit\030\001 \001(\004\022:\n\007outcome\030\002 \001(\0162).t" +
-      "anagermoor.gateway.PermitReturn.Outcome\"" +
-      "H\n\007Outcome\022\n\n\006UNUSED\020\000\022\n\n\006SERVED\020\001\022\017\n\013UN" +
-      "REACHABLE\020\002\022\010\n\004FULL\020\003\022\n\n\006FAILED\020\004\"L\n\nHel" +
-      "dPermit\022\016\n\006permit\030\001 \001(\004\022\017\n\007service\030\002 \001(\t" +
-      "\022\016\n\006target\030\003 \001(\t\022\r\n\005batch\030\004 \001(\010\"\314\001\n\014Perm" +
-      "itAnswer\0224\n\004kind\030\001 \001(\0162&.tanagermoor.gat" +
-      "eway.PermitAnswer.Kind\022\016\n\006target\030\002 \001(\t\022\032" +
-      "\n\022retry_after_millis\030\003 \001(\r\"Z\n\004Kind\022\010\n\004NO" +
-      "NE\020\000\022\013\n\007GRANTED\020\001\022\020\n\014RATE_LIMITED\020\002\022\016\n\nO" +
-      "VERLOADED\020\003\022\r\n\tNO_TARGET\020\004\022\n\n\006RESYNC\020\005\"\037" +
-      "\n\014PermitRecall\022\017\n\007permits\030\001 \003(\004\")\n\nItemH" +
-      "eader\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"s\n\007Jo" +
-      "bItem\022\n\n\002id\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\0220\n\007heade" +
-      "rs\030\003 \003(\0132\037.tanagermoor.gateway.ItemHeade" +
-      "r\022\014\n\004body\030\004 \001(\014\022\016\n\006tokens\030\005 \001(\004\"9\n\nJobCo" +
-      "ntent\022+\n\005items\030\001 \003(\0132\034.tanagermoor.gatew" +
-      "ay.JobItem\"\256\001\n\006JobRow\022\n\n\002id\030\001 \001(\t\022\014\n\004tea" +
-      "m\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022\027\n\017a" +
-      "ccepted_millis\030\005 \001(\004\022\r\n\005total\030\006 \001(\r\022\020\n\010r" +
-      "ecorded\030\007 \001(\r\022\r\n\005ended\030\010 \001(\010\022\026\n\016tokens_w" +
-      "aiting\030\t \001(\004\022\r\n\005owner\030\n \001(\t\"=\n\nResultPar" +
-      "t\022\014\n\004item\030\001 \001(\t\022\021\n\tcompleted\030\002 \001(\010\022\016\n\006ou" +
-      "tput\030\003 \001(\014\"R\n\014ItemProgress\022\014\n\004item\030\001 \001(\t" +
-      "\022\022\n\nlast_event\030\002 \001(\004\022\016\n\006output\030\003 \001(\014\022\020\n\010" +
-      "failures\030\004 \001(\rB!\n\035org.tanagermoor.gatewa" +
-      "y.protoP\001b\006proto3"
+      "\n\treturning\030\n \001(\010\022-\n\004work\030\013 \001(\0132\037.tanage" +
+      "rmoor.gateway.PermitWork\"3\n\nPermitWork\022\016" +
+      "\n\006millis\030\001 \001(\r\022\025\n\rdone_permille\030\002 \001(\r\"\244\001" +
+      "\n\014PermitReturn\022\016\n\006permit\030\001 \001(\004\022:\n\007outcom" +
+      "e\030\002 \001(\0162).tanagermoor.gateway.PermitRetu" +
+      "rn.Outcome\"H\n\007Outcome\022\n\n\006UNUSED\020\000\022\n\n\006SER" +
+      "VED\020\001\022\017\n\013UNREACHABLE\020\002\022\010\n\004FULL\020\003\022\n\n\006FAIL" +
+      "ED\020\004\"\223\001\n\nHeldPermit\022\016\n\006permit\030\001 \001(\004\022\017\n\007s" +
+      "ervice\030\002 \001(\t\022\016\n\006target\030\003 \001(\t\022\r\n\005batch\030\004 " +
+      "\001(\010\022\026\n\016on_time_millis\030\005 \001(\005\022-\n\004work\030\006 \001(" +
+      "\0132\037.tanagermoor.gateway.PermitWork\"\343\001\n\014P" +
+      "ermitAnswer\0224\n\004kind\030\001 \001(\0162&.tanagermoor." +
+      "gateway.PermitAnswer.Kind\022\016\n\006target\030\002 \001(" +
+      "\t\022\032\n\022retry_after_millis\030\003 \001(\r\022\025\n\rleft_pe" +
+      "rmille\030\004 \001(\r\"Z\n\004Kind\022\010\n\004NONE\020\000\022\013\n\007GRANTE" +
+      "D\020\001\022\020\n\014RATE_LIMITED\020\002\022\016\n\nOVERLOADED\020\003\022\r\n" +
+      "\tNO_TARGET\020\004\022\n\n\006RESYNC\020\005\"\037\n\014PermitRecall" +
+      "\022\017\n\007permits\030\001 \003(\004\")\n\nItemHeader\022\014\n\004name\030" +
+      "\001 \001(\t\022\r\n\005value\030\002 \001(\t\"s\n\007JobItem\022\n\n\002id\030\001 " +
+      "\001(\t\022\014\n\004path\030\002 \001(\t\0220\n\007headers\030\003 \003(\0132\037.tan" +
+      "agermoor.gateway.ItemHeader\022\014\n\004body\030\004 \001(" +
+      "\014\022\016\n\006tokens\030\005 \001(\004\"9\n\nJobContent\022+\n\005items" +
+      "\030\001 \003(\0132\034.tanagermoor.gateway.JobItem\"\256\001\n" +
+      "\006JobRow\022\n\n\002id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004hos" +
+      "t\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022\027\n\017accepted_millis" +
+      "\030\005 \001(\004\022\r\n\005total\030\006 \001(\r\022\020\n\010recorded\030\007 \001(\r\022" +
+      "\r\n\005ended\030\010 \001(\010\022\026\n\016tokens_waiting\030\t \001(\004\022\r" +
+      "\n\005owner\030\n \001(\t\"=\n\nResultPart\022\014\n\004item\030\001 \001(" +
+      "\t\022\021\n\tcompleted\030\002 \001(\010\022\016\n\006output\030\003 \001(\014\"R\n\014" +
+      "ItemProgress\022\014\n\004item\030\001 \001(\t\022\022\n\nlast_event" +
+      "\030\002 \001(\004\022\016\n\006output\030\003 \001(\014\022\020\n\010failures\030\004 \001(\r" +
+      "B!\n\035org.tanagermoor.gateway.protoP\001b\006pro" +
+      "to3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -231,63 +240,69 @@
     internal_static_tanagermoor_gateway_PermitAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitAsk_descriptor,
-        new java.lang.String[] { "Permit", "Service", "Team", "Domain", "PromptKey", "WaitMillis", "OnTimeMillis", "Batch", "Excluded", "Returning", "WorkDonePermille", "WorkMillis", });
-    internal_static_tanagermoor_gateway_PermitReturn_descriptor =
+        new java.lang.String[] { "Permit", "Service", "Team", "Domain", "PromptKey", "WaitMillis", "OnTimeMillis", "Batch", "Excluded", "Returning", "Work", });
+    internal_static_tanagermoor_gateway_PermitWork_descriptor =
       getDescriptor().getMessageType(8);
+    internal_static_tanagermoor_gateway_PermitWork_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagermoor_gateway_PermitWork_descriptor,
+        new java.lang.String[] { "Millis", "DonePermille", });
+    internal_static_tanagermoor_gateway_PermitReturn_descriptor =
+      getDescriptor().getMessageType(9);
     internal_static_tanagermoor_gateway_PermitReturn_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitReturn_descriptor,
         new java.lang.String[] { "Permit", "Outcome", });
     internal_static_tanagermoor_gateway_HeldPermit_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_tanagermoor_gateway_HeldPermit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_HeldPermit_descriptor,
-        new java.lang.String[] { "Permit", "Service", "Target", "Batch", });
+        new java.lang.String[] { "Permit", "Service", "Target", "Batch", "OnTimeMillis", "Work", });
     internal_static_tanagermoor_gateway_PermitAnswer_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_tanagermoor_gateway_PermitAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitAnswer_descriptor,
-        new java.lang.String[] { "Kind", "Target", "RetryAfterMillis", });
+        new java.lang.String[] { "Kind", "Target", "RetryAfterMillis", "LeftPermille", });
     internal_static_tanagermoor_gateway_PermitRecall_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_tanagermoor_gateway_PermitRecall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitRecall_descriptor,
         new java.lang.String[] { "Permits", });
     internal_static_tanagermoor_gateway_ItemHeader_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_tanagermoor_gateway_ItemHeader_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ItemHeader_descriptor,
         new java.lang.String[] { "Name", "Value", });
     internal_static_tanagermoor_gateway_JobItem_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_tanagermoor_gateway_JobItem_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_JobItem_descriptor,
         new java.lang.String[] { "Id", "Path", "Headers", "Body", "Tokens", });
     internal_static_tanagermoor_gateway_JobContent_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_tanagermoor_gateway_JobContent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_JobContent_descriptor,
         new java.lang.String[] { "Items", });
     internal_static_tanagermoor_gateway_JobRow_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_tanagermoor_gateway_JobRow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_JobRow_descriptor,
         new java.lang.String[] { "Id", "Team", "Host", "Path", "AcceptedMillis", "Total", "Recorded", "Ended", "TokensWaiting", "Owner", });
     internal_static_tanagermoor_gateway_ResultPart_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_tanagermoor_gateway_ResultPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ResultPart_descriptor,
         new java.lang.String[] { "Item", "Completed", "Output", });
     internal_static_tanagermoor_gateway_ItemProgress_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_tanagermoor_gateway_ItemProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ItemProgress_descriptor,
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/HeldPermit.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/HeldPermit.java
@@ -50,6 +50,7 @@
             org.tanagermoor.gateway.proto.HeldPermit.class, org.tanagermoor.gateway.proto.HeldPermit.Builder.class);
   }
 
+  private int bitField0_;
   public static final int PERMIT_FIELD_NUMBER = 1;
   private long permit_ = 0L;
   /**
@@ -150,6 +151,47 @@
     return batch_;
   }
 
+  public static final int ON_TIME_MILLIS_FIELD_NUMBER = 5;
+  private int onTimeMillis_ = 0;
+  /**
+   * <pre>
+   * How long the request could wait on and be on time, in milliseconds; below 0 if it is late.
+   * </pre>
+   *
+   * <code>int32 on_time_millis = 5;</code>
+   * @return The onTimeMillis.
+   */
+  @java.lang.Override
+  public int getOnTimeMillis() {
+    return onTimeMillis_;
+  }
+
+  public static final int WORK_FIELD_NUMBER = 6;
+  private org.tanagermoor.gateway.proto.PermitWork work_;
+  /**
+   * <code>.tanagermoor.gateway.PermitWork work = 6;</code>
+   * @return Whether the work field is set.
+   */
+  @java.lang.Override
+  public boolean hasWork() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.tanagermoor.gateway.PermitWork work = 6;</code>
+   * @return The work.
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.PermitWork getWork() {
+    return work_ == null ? org.tanagermoor.gateway.proto.PermitWork.getDefaultInstance() : work_;
+  }
+  /**
+   * <code>.tanagermoor.gateway.PermitWork work = 6;</code>
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.PermitWorkOrBuilder getWorkOrBuilder() {
+    return work_ == null ? org.tanagermoor.gateway.proto.PermitWork.getDefaultInstance() : work_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -176,6 +218,12 @@
     if (batch_ != false) {
       output.writeBool(4, batch_);
     }
+    if (onTimeMillis_ != 0) {
+      output.writeInt32(5, onTimeMillis_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(6, getWork());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -194,6 +242,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(4, batch_);
     }
+    if (onTimeMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(5, onTimeMillis_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, getWork());
+    }
     return size;
   }
   @java.lang.Override
@@ -226,6 +282,13 @@
         .equals(other.getTarget())) return false;
     if (getBatch()
         != other.getBatch()) return false;
+    if (getOnTimeMillis()
+        != other.getOnTimeMillis()) return false;
+    if (hasWork() != other.hasWork()) return false;
+    if (hasWork()) {
+      if (!getWork()
+          .equals(other.getWork())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -247,6 +310,12 @@
     hash = (37 * hash) + BATCH_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getBatch());
+    hash = (37 * hash) + ON_TIME_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getOnTimeMillis();
+    if (hasWork()) {
+      hash = (37 * hash) + WORK_FIELD_NUMBER;
+      hash = (53 * hash) + getWork().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -366,13 +435,19 @@
 
     // Construct using org.tanagermoor.gateway.proto.HeldPermit.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetWorkFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -382,6 +457,12 @@
       service_ = "";
       target_ = "";
       batch_ = false;
+      onTimeMillis_ = 0;
+      work_ = null;
+      if (workBuilder_ != null) {
+        workBuilder_.dispose();
+        workBuilder_ = null;
+      }
       return this;
     }
 
@@ -427,6 +508,17 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.batch_ = batch_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.onTimeMillis_ = onTimeMillis_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.work_ = workBuilder_ == null
+            ? work_
+            : workBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -457,6 +549,12 @@
       if (other.getBatch() != false) {
         setBatch(other.getBatch());
       }
+      if (other.getOnTimeMillis() != 0) {
+        setOnTimeMillis(other.getOnTimeMillis());
+      }
+      if (other.hasWork()) {
+        mergeWork(other.getWork());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -501,6 +599,18 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              onTimeMillis_ = input.readInt32();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 50: {
+              input.readMessage(
+                  internalGetWorkFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -726,6 +836,169 @@
       return this;
     }
 
+    private int onTimeMillis_ ;
+    /**
+     * <pre>
+     * How long the request could wait on and be on time, in milliseconds; below 0 if it is late.
+     * </pre>
+     *
+     * <code>int32 on_time_millis = 5;</code>
+     * @return The onTimeMillis.
+     */
+    @java.lang.Override
+    public int getOnTimeMillis() {
+      return onTimeMillis_;
+    }
+    /**
+     * <pre>
+     * How long the request could wait on and be on time, in milliseconds; below 0 if it is late.
+     * </pre>
+     *
+     * <code>int32 on_time_millis = 5;</code>
+     * @param value The onTimeMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOnTimeMillis(int value) {
+
+      onTimeMillis_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long the request could wait on and be on time, in milliseconds; below 0 if it is late.
+     * </pre>
+     *
+     * <code>int32 on_time_millis = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOnTimeMillis() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onTimeMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private org.tanagermoor.gateway.proto.PermitWork work_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tanagermoor.gateway.proto.PermitWork, org.tanagermoor.gateway.proto.PermitWork.Builder, org.tanagermoor.gateway.proto.PermitWorkOrBuilder> workBuilder_;
+    /**
+     * <code>.tanagermoor.gateway.PermitWork work = 6;</code>
+     * @return Whether the work field is set.
+     */
+    public boolean hasWork() {
+      return ((bitField0_ & 0x00000020) != 0);
+    }
+    /**
+     * <code>.tanagermoor.gateway.PermitWork work = 6;</code>
+     * @return The work.
+     */
+    public org.tanagermoor.gateway.proto.PermitWork getWork() {
+      if (workBuilder_ == null) {
+        return work_ == null ? org.tanagermoor.gateway.proto.PermitWork.getDefaultInstance() : work_;
+      } else {
+        return workBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.tanagermoor.gateway.PermitWork work = 6;</code>
+     */
+    public Builder setWork(org.tanagermoor.gateway.proto.PermitWork value) {
+      if (workBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        work_ = value;
+      } else {
+        workBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.tanagermoor.gateway.PermitWork work = 6;</code>
+     */
+    public Builder setWork(
+        org.tanagermoor.gateway.proto.PermitWork.Builder builderForValue) {
+      if (workBuilder_ == null) {
+        work_ = builderForValue.build();
+      } else {
+        workBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.tanagermoor.gateway.PermitWork work = 6;</code>
+     */
+    public Builder mergeWork(org.tanagermoor.gateway.proto.PermitWork value) {
+      if (workBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0) &&
+          work_ != null &&
+          work_ != org.tanagermoor.gateway.proto.PermitWork.getDefaultInstance()) {
+          getWorkBuilder().mergeFrom(value);
+        } else {
+          work_ = value;
+        }
+      } else {
+        workBuilder_.mergeFrom(value);
+      }
+      if (work_ != null) {
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.tanagermoor.gateway.PermitWork work = 6;</code>
+     */
+    public Builder clearWork() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      work_ = null;
+      if (workBuilder_ != null) {
+        workBuilder_.dispose();
+        workBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.tanagermoor.gateway.PermitWork work = 6;</code>
+     */
+    public org.tanagermoor.gateway.proto.PermitWork.Builder getWorkBuilder() {
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return internalGetWorkFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.tanagermoor.gateway.PermitWork work = 6;</code>
+     */
+    public org.tanagermoor.gateway.proto.PermitWorkOrBuilder getWorkOrBuilder() {
+      if (workBuilder_ != null) {
+        return workBuilder_.getMessageOrBuilder();
+      } else {
+        return work_ == null ?
+            org.tanagermoor.gateway.proto.PermitWork.getDefaultInstance() : work_;
+      }
+    }
+    /**
+     * <code>.tanagermoor.gateway.PermitWork work = 6;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tanagermoor.gateway.proto.PermitWork, org.tanagermoor.gateway.proto.PermitWork.Builder, org.tanagermoor.gateway.proto.PermitWorkOrBuilder> 
+        internalGetWorkFieldBuilder() {
+      if (workBuilder_ == null) {
+        workBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.tanagermoor.gateway.proto.PermitWork, org.tanagermoor.gateway.proto.PermitWork.Builder, org.tanagermoor.gateway.proto.PermitWorkOrBuilder>(
+                getWork(),
+                getParentForChildren(),
+                isClean());
+        work_ = null;
+      }
+      return workBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.HeldPermit)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/HeldPermitOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/HeldPermitOrBuilder.java
@@ -45,4 +45,29 @@
    * @return The batch.
    */
   boolean getBatch();
+
+  /**
+   * <pre>
+   * How long the request could wait on and be on time, in milliseconds; below 0 if it is late.
+   * </pre>
+   *
+   * <code>int32 on_time_millis = 5;</code>
+   * @return The onTimeMillis.
+   */
+  int getOnTimeMillis();
+
+  /**
+   * <code>.tanagermoor.gateway.PermitWork work = 6;</code>
+   * @return Whether the work field is set.
+   */
+  boolean hasWork();
+  /**
+   * <code>.tanagermoor.gateway.PermitWork work = 6;</code>
+   * @return The work.
+   */
+  org.tanagermoor.gateway.proto.PermitWork getWork();
+  /**
+   * <code>.tanagermoor.gateway.PermitWork work = 6;</code>
+   */
+  org.tanagermoor.gateway.proto.PermitWorkOrBuilder getWorkOrBuilder();
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAnswer.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAnswer.java
@@ -271,6 +271,21 @@
     return retryAfterMillis_;
   }
 
+  public static final int LEFT_PERMILLE_FIELD_NUMBER = 4;
+  private int leftPermille_ = 0;
+  /**
+   * <pre>
+   * The part of the places of the service that online requests have lately left, in thousandths; 0 if it is not told.
+   * </pre>
+   *
+   * <code>uint32 left_permille = 4;</code>
+   * @return The leftPermille.
+   */
+  @java.lang.Override
+  public int getLeftPermille() {
+    return leftPermille_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -294,6 +309,9 @@
     if (retryAfterMillis_ != 0) {
       output.writeUInt32(3, retryAfterMillis_);
     }
+    if (leftPermille_ != 0) {
+      output.writeUInt32(4, leftPermille_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -309,6 +327,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(3, retryAfterMillis_);
     }
+    if (leftPermille_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(4, leftPermille_);
+    }
     return size;
   }
   @java.lang.Override
@@ -338,6 +360,8 @@
         .equals(other.getTarget())) return false;
     if (getRetryAfterMillis()
         != other.getRetryAfterMillis()) return false;
+    if (getLeftPermille()
+        != other.getLeftPermille()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -355,6 +379,8 @@
     hash = (53 * hash) + getTarget().hashCode();
     hash = (37 * hash) + RETRY_AFTER_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getRetryAfterMillis();
+    hash = (37 * hash) + LEFT_PERMILLE_FIELD_NUMBER;
+    hash = (53 * hash) + getLeftPermille();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -489,6 +515,7 @@
       kind_ = 0;
       target_ = "";
       retryAfterMillis_ = 0;
+      leftPermille_ = 0;
       return this;
     }
 
@@ -531,6 +558,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.retryAfterMillis_ = retryAfterMillis_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.leftPermille_ = leftPermille_;
+      }
     }
 
     @java.lang.Override
@@ -556,6 +586,9 @@
       if (other.getRetryAfterMillis() != 0) {
         setRetryAfterMillis(other.getRetryAfterMillis());
       }
+      if (other.getLeftPermille() != 0) {
+        setLeftPermille(other.getLeftPermille());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -595,6 +628,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              leftPermille_ = input.readUInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -768,6 +806,50 @@
       return this;
     }
 
+    private int leftPermille_ ;
+    /**
+     * <pre>
+     * The part of the places of the service that online requests have lately left, in thousandths; 0 if it is not told.
+     * </pre>
+     *
+     * <code>uint32 left_permille = 4;</code>
+     * @return The leftPermille.
+     */
+    @java.lang.Override
+    public int getLeftPermille() {
+      return leftPermille_;
+    }
+    /**
+     * <pre>
+     * The part of the places of the service that online requests have lately left, in thousandths; 0 if it is not told.
+     * </pre>
+     *
+     * <code>uint32 left_permille = 4;</code>
+     * @param value The leftPermille to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeftPermille(int value) {
+
+      leftPermille_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The part of the places of the service that online requests have lately left, in thousandths; 0 if it is not told.
+     * </pre>
+     *
+     * <code>uint32 left_permille = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeftPermille() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      leftPermille_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.PermitAnswer)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAnswerOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAnswerOrBuilder.java
@@ -38,4 +38,14 @@
    * @return The retryAfterMillis.
    */
   int getRetryAfterMillis();
+
+  /**
+   * <pre>
+   * The part of the places of the service that online requests have lately left, in thousandths; 0 if it is not told.
+   * </pre>
+   *
+   * <code>uint32 left_permille = 4;</code>
+   * @return The leftPermille.
+   */
+  int getLeftPermille();
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAsk.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAsk.java
@@ -53,6 +53,7 @@
             org.tanagermoor.gateway.proto.PermitAsk.class, org.tanagermoor.gateway.proto.PermitAsk.Builder.class);
   }
 
+  private int bitField0_;
   public static final int PERMIT_FIELD_NUMBER = 1;
   private long permit_ = 0L;
   /**
@@ -293,34 +294,30 @@
     return returning_;
   }
 
-  public static final int WORK_DONE_PERMILLE_FIELD_NUMBER = 11;
-  private int workDonePermille_ = 0;
+  public static final int WORK_FIELD_NUMBER = 11;
+  private org.tanagermoor.gateway.proto.PermitWork work_;
   /**
-   * <pre>
-   * The part of its work that is done, in thousandths.
-   * </pre>
-   *
-   * <code>uint32 work_done_permille = 11;</code>
-   * @return The workDonePermille.
+   * <code>.tanagermoor.gateway.PermitWork work = 11;</code>
+   * @return Whether the work field is set.
    */
   @java.lang.Override
-  public int getWorkDonePermille() {
-    return workDonePermille_;
+  public boolean hasWork() {
+    return ((bitField0_ & 0x00000001) != 0);
   }
-
-  public static final int WORK_MILLIS_FIELD_NUMBER = 12;
-  private int workMillis_ = 0;
   /**
-   * <pre>
-   * The time for which it is expected to hold places, in milliseconds.
-   * </pre>
-   *
-   * <code>uint32 work_millis = 12;</code>
-   * @return The workMillis.
+   * <code>.tanagermoor.gateway.PermitWork work = 11;</code>
+   * @return The work.
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.PermitWork getWork() {
+    return work_ == null ? org.tanagermoor.gateway.proto.PermitWork.getDefaultInstance() : work_;
+  }
+  /**
+   * <code>.tanagermoor.gateway.PermitWork work = 11;</code>
    */
   @java.lang.Override
-  public int getWorkMillis() {
-    return workMillis_;
+  public org.tanagermoor.gateway.proto.PermitWorkOrBuilder getWorkOrBuilder() {
+    return work_ == null ? org.tanagermoor.gateway.proto.PermitWork.getDefaultInstance() : work_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -367,11 +364,8 @@
     if (returning_ != false) {
       output.writeBool(10, returning_);
     }
-    if (workDonePermille_ != 0) {
-      output.writeUInt32(11, workDonePermille_);
-    }
-    if (workMillis_ != 0) {
-      output.writeUInt32(12, workMillis_);
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(11, getWork());
     }
     getUnknownFields().writeTo(output);
   }
@@ -418,13 +412,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(10, returning_);
     }
-    if (workDonePermille_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(11, workDonePermille_);
-    }
-    if (workMillis_ != 0) {
+    if (((bitField0_ & 0x00000001) != 0)) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(12, workMillis_);
+        .computeMessageSize(11, getWork());
     }
     return size;
   }
@@ -470,10 +460,11 @@
         .equals(other.getExcludedList())) return false;
     if (getReturning()
         != other.getReturning()) return false;
-    if (getWorkDonePermille()
-        != other.getWorkDonePermille()) return false;
-    if (getWorkMillis()
-        != other.getWorkMillis()) return false;
+    if (hasWork() != other.hasWork()) return false;
+    if (hasWork()) {
+      if (!getWork()
+          .equals(other.getWork())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -511,10 +502,10 @@
     hash = (37 * hash) + RETURNING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getReturning());
-    hash = (37 * hash) + WORK_DONE_PERMILLE_FIELD_NUMBER;
-    hash = (53 * hash) + getWorkDonePermille();
-    hash = (37 * hash) + WORK_MILLIS_FIELD_NUMBER;
-    hash = (53 * hash) + getWorkMillis();
+    if (hasWork()) {
+      hash = (37 * hash) + WORK_FIELD_NUMBER;
+      hash = (53 * hash) + getWork().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -634,13 +625,19 @@
 
     // Construct using org.tanagermoor.gateway.proto.PermitAsk.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetWorkFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -657,8 +654,11 @@
       excluded_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       returning_ = false;
-      workDonePermille_ = 0;
-      workMillis_ = 0;
+      work_ = null;
+      if (workBuilder_ != null) {
+        workBuilder_.dispose();
+        workBuilder_ = null;
+      }
       return this;
     }
 
@@ -723,12 +723,14 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.returning_ = returning_;
       }
+      int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000400) != 0)) {
-        result.workDonePermille_ = workDonePermille_;
-      }
-      if (((from_bitField0_ & 0x00000800) != 0)) {
-        result.workMillis_ = workMillis_;
+        result.work_ = workBuilder_ == null
+            ? work_
+            : workBuilder_.build();
+        to_bitField0_ |= 0x00000001;
       }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -786,11 +788,8 @@
       if (other.getReturning() != false) {
         setReturning(other.getReturning());
       }
-      if (other.getWorkDonePermille() != 0) {
-        setWorkDonePermille(other.getWorkDonePermille());
-      }
-      if (other.getWorkMillis() != 0) {
-        setWorkMillis(other.getWorkMillis());
+      if (other.hasWork()) {
+        mergeWork(other.getWork());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -866,16 +865,13 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 80
-            case 88: {
-              workDonePermille_ = input.readUInt32();
+            case 90: {
+              input.readMessage(
+                  internalGetWorkFieldBuilder().getBuilder(),
+                  extensionRegistry);
               bitField0_ |= 0x00000400;
               break;
-            } // case 88
-            case 96: {
-              workMillis_ = input.readUInt32();
-              bitField0_ |= 0x00000800;
-              break;
-            } // case 96
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1468,92 +1464,123 @@
       return this;
     }
 
-    private int workDonePermille_ ;
+    private org.tanagermoor.gateway.proto.PermitWork work_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tanagermoor.gateway.proto.PermitWork, org.tanagermoor.gateway.proto.PermitWork.Builder, org.tanagermoor.gateway.proto.PermitWorkOrBuilder> workBuilder_;
     /**
-     * <pre>
-     * The part of its work that is done, in thousandths.
-     * </pre>
-     *
-     * <code>uint32 work_done_permille = 11;</code>
-     * @return The workDonePermille.
+     * <code>.tanagermoor.gateway.PermitWork work = 11;</code>
+     * @return Whether the work field is set.
      */
-    @java.lang.Override
-    public int getWorkDonePermille() {
-      return workDonePermille_;
+    public boolean hasWork() {
+      return ((bitField0_ & 0x00000400) != 0);
     }
     /**
-     * <pre>
-     * The part of its work that is done, in thousandths.
-     * </pre>
-     *
-     * <code>uint32 work_done_permille = 11;</code>
-     * @param value The workDonePermille to set.
-     * @return This builder for chaining.
+     * <code>.tanagermoor.gateway.PermitWork work = 11;</code>
+     * @return The work.
      */
-    public Builder setWorkDonePermille(int value) {
-
-      workDonePermille_ = value;
+    public org.tanagermoor.gateway.proto.PermitWork getWork() {
+      if (workBuilder_ == null) {
+        return work_ == null ? org.tanagermoor.gateway.proto.PermitWork.getDefaultInstance() : work_;
+      } else {
+        return workBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.tanagermoor.gateway.PermitWork work = 11;</code>
+     */
+    public Builder setWork(org.tanagermoor.gateway.proto.PermitWork value) {
+      if (workBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        work_ = value;
+      } else {
+        workBuilder_.setMessage(value);
+      }
       bitField0_ |= 0x00000400;
       onChanged();
       return this;
     }
     /**
-     * <pre>
-     * The part of its work that is done, in thousandths.
-     * </pre>
-     *
-     * <code>uint32 work_done_permille = 11;</code>
-     * @return This builder for chaining.
+     * <code>.tanagermoor.gateway.PermitWork work = 11;</code>
      */
-    public Builder clearWorkDonePermille() {
-      bitField0_ = (bitField0_ & ~0x00000400);
-      workDonePermille_ = 0;
+    public Builder setWork(
+        org.tanagermoor.gateway.proto.PermitWork.Builder builderForValue) {
+      if (workBuilder_ == null) {
+        work_ = builderForValue.build();
+      } else {
+        workBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000400;
       onChanged();
       return this;
     }
-
-    private int workMillis_ ;
     /**
-     * <pre>
-     * The time for which it is expected to hold places, in milliseconds.
-     * </pre>
-     *
-     * <code>uint32 work_millis = 12;</code>
-     * @return The workMillis.
+     * <code>.tanagermoor.gateway.PermitWork work = 11;</code>
      */
-    @java.lang.Override
-    public int getWorkMillis() {
-      return workMillis_;
+    public Builder mergeWork(org.tanagermoor.gateway.proto.PermitWork value) {
+      if (workBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0) &&
+          work_ != null &&
+          work_ != org.tanagermoor.gateway.proto.PermitWork.getDefaultInstance()) {
+          getWorkBuilder().mergeFrom(value);
+        } else {
+          work_ = value;
+        }
+      } else {
+        workBuilder_.mergeFrom(value);
+      }
+      if (work_ != null) {
+        bitField0_ |= 0x00000400;
+        onChanged();
+      }
+      return this;
     }
     /**
-     * <pre>
-     * The time for which it is expected to hold places, in milliseconds.
-     * </pre>
-     *
-     * <code>uint32 work_millis = 12;</code>
-     * @param value The workMillis to set.
-     * @return This builder for chaining.
+     * <code>.tanagermoor.gateway.PermitWork work = 11;</code>
      */
-    public Builder setWorkMillis(int value) {
-
-      workMillis_ = value;
-      bitField0_ |= 0x00000800;
+    public Builder clearWork() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      work_ = null;
+      if (workBuilder_ != null) {
+        workBuilder_.dispose();
+        workBuilder_ = null;
+      }
       onChanged();
       return this;
     }
     /**
-     * <pre>
-     * The time for which it is expected to hold places, in milliseconds.
-     * </pre>
-     *
-     * <code>uint32 work_millis = 12;</code>
-     * @return This builder for chaining.
+     * <code>.tanagermoor.gateway.PermitWork work = 11;</code>
      */
-    public Builder clearWorkMillis() {
-      bitField0_ = (bitField0_ & ~0x00000800);
-      workMillis_ = 0;
+    public org.tanagermoor.gateway.proto.PermitWork.Builder getWorkBuilder() {
+      bitField0_ |= 0x00000400;
       onChanged();
-      return this;
+      return internalGetWorkFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.tanagermoor.gateway.PermitWork work = 11;</code>
+     */
+    public org.tanagermoor.gateway.proto.PermitWorkOrBuilder getWorkOrBuilder() {
+      if (workBuilder_ != null) {
+        return workBuilder_.getMessageOrBuilder();
+      } else {
+        return work_ == null ?
+            org.tanagermoor.gateway.proto.PermitWork.getDefaultInstance() : work_;
+      }
+    }
+    /**
+     * <code>.tanagermoor.gateway.PermitWork work = 11;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tanagermoor.gateway.proto.PermitWork, org.tanagermoor.gateway.proto.PermitWork.Builder, org.tanagermoor.gateway.proto.PermitWorkOrBuilder> 
+        internalGetWorkFieldBuilder() {
+      if (workBuilder_ == null) {
+        workBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.tanagermoor.gateway.proto.PermitWork, org.tanagermoor.gateway.proto.PermitWork.Builder, org.tanagermoor.gateway.proto.PermitWorkOrBuilder>(
+                getWork(),
+                getParentForChildren(),
+                isClean());
+        work_ = null;
+      }
+      return workBuilder_;
     }
 
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.PermitAsk)
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAskOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAskOrBuilder.java
@@ -128,22 +128,17 @@
   boolean getReturning();
 
   /**
-   * <pre>
-   * The part of its work that is done, in thousandths.
-   * </pre>
-   *
-   * <code>uint32 work_done_permille = 11;</code>
-   * @return The workDonePermille.
+   * <code>.tanagermoor.gateway.PermitWork work = 11;</code>
+   * @return Whether the work field is set.
    */
-  int getWorkDonePermille();
-
+  boolean hasWork();
   /**
-   * <pre>
-   * The time for which it is expected to hold places, in milliseconds.
-   * </pre>
-   *
-   * <code>uint32 work_millis = 12;</code>
-   * @return The workMillis.
+   * <code>.tanagermoor.gateway.PermitWork work = 11;</code>
+   * @return The work.
+   */
+  org.tanagermoor.gateway.proto.PermitWork getWork();
+  /**
+   * <code>.tanagermoor.gateway.PermitWork work = 11;</code>
    */
-  int getWorkMillis();
+  org.tanagermoor.gateway.proto.PermitWorkOrBuilder getWorkOrBuilder();
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobLoadTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobLoadTest.java
@@ -29,6 +29,14 @@
         assertThat(load.toString(), 4 * load.inTime(), greaterThan(3 * load.fits()));
     }
 
+    /** Load: as above, and another instance dispatches every four seconds, as while a fleet is restarted. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void endsMostItemsThatFitInTimeWhileTheDispatcherChanges(long seed) {
+        JobLoad load = JobLoad.withChanges(seed, 32, TOO_MANY_JOBS, 4_000).play(DURATION_MILLIS);
+        assertThat(load.toString(), 4 * load.inTime(), greaterThan(3 * load.fits()));
+    }
+
     /** Load: as above. An item that has begun ends when it is late, too; at most one of ten waits until the load is over. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
