Give items places as soon as the next dispatcher knows all places in use

Cause: each instance let its items wait 0.8 s after a change, and 0.3 s more per refusal, since the new dispatcher may not have heard of all places in use.

Change: the dispatcher queues items until all instances that run have told it what they hold, 0.8 s at most. An instance that has just started waits as before, since instances that start together each take themselves for the dispatcher. DispatchClientTest.givesItemsPlacesAsSoonAsTheNextDispatcherKnowsAllPlacesInUse failed first (refused for 300 ms).

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
@@ -53,8 +53,8 @@
     private static final long BATCH_RETRY_MILLIS = 300;
 
     /**
-     * The time after a change of the dispatcher before items of jobs ask, in nanoseconds: until then it has not heard
-     * of all places in use, and instances that start together each take themselves for the dispatcher.
+     * The time after a change of the dispatcher before items of jobs ask at an instance that has just started, in
+     * nanoseconds: instances that start together each take themselves for the dispatcher.
      */
     private static final long BATCH_SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
@@ -223,7 +223,7 @@
         changedAt = now;
         returns.clear();
         if (dispatching) {
-            own.dispatcher().begin(leftParts);
+            own.begin(leftParts, now);
             List<Use> asking = uses.values().stream()
                     .filter(use -> !use.local && use.target.isEmpty())
                     .toList();
@@ -231,6 +231,7 @@
             own.dispatcher().resync(self, held(), now);
             asking.forEach(use -> request(use, now));
         } else {
+            own.end();
             reported = true;
             reportAll();
         }
@@ -287,9 +288,9 @@
         }
     }
 
-    /** Returns whether it is clear who dispatches, and the dispatcher has had time to hear of all places in use. */
+    /** Returns whether it is clear who dispatches: not while instances that start together find each other. */
     private boolean settled(long now) {
-        return now - changedAt >= BATCH_SETTLE_NANOS && !starting(now);
+        return now - startedAt >= ALONE_NANOS || (now - changedAt >= BATCH_SETTLE_NANOS && !starting(now));
     }
 
     /** Asks the dispatcher of this instance. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.tanagermoor.gateway.member.Liveness;
@@ -32,6 +33,12 @@
     /** The interval at which requests that wait for a place are looked at, in milliseconds. */
     private static final long LOOK_MILLIS = 25;
 
+    /**
+     * The time after which the instances that did not tell their places in use are not waited for, in nanoseconds: some
+     * looks of an instance at who dispatches.
+     */
+    private static final long REPORTED_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
     /** The longest time for a message to the holder of a permit. */
     private static final java.time.Duration RECALL_TIMEOUT = java.time.Duration.ofMillis(500);
 
@@ -53,6 +60,9 @@
     /** Those who wait for an answer, by holder and permit. */
     private final Map<String, Consumer<PermitAnswer>> waiting = new HashMap<>();
 
+    /** The monotonic time in nanoseconds at which this instance began to dispatch, if it dispatches. */
+    private OptionalLong begunAt = OptionalLong.empty();
+
     /** Whether a look at what waits is scheduled. */
     private boolean looking;
 
@@ -86,8 +96,34 @@
         ownRecalls = value;
     }
 
+    /**
+     * Begins to dispatch, after another instance or none.
+     *
+     * @param leftParts The part of the places that online requests leave, by service, as it was last told.
+     * @param now The present monotonic time in nanoseconds.
+     */
+    void begin(Map<String, Double> leftParts, long now) {
+        begunAt = OptionalLong.of(now);
+        dispatcher.begin(leftParts);
+    }
+
+    /** Notes that another instance dispatches. */
+    void end() {
+        begunAt = OptionalLong.empty();
+    }
+
+    /** Returns whether the places in use are known, by the reports of all instances or after they had time for one. */
+    private boolean complete(long now) {
+        return begunAt.isPresent()
+                && (now - begunAt.getAsLong() >= REPORTED_NANOS
+                        || liveness.running(now).stream()
+                                .allMatch(instance ->
+                                        dispatcher.knows(instance.id().toString())));
+    }
+
     /** Answers an ask, at the latest after {@link #HOLD_MILLIS} with an answer that says nothing yet. */
     void ask(Ask ask, Consumer<PermitAnswer> answer) {
+        dispatcher.itemsWait(!complete(time.nanos()), time.nanos());
         Optional<Verdict> verdict = dispatcher.ask(ask, time.nanos());
         if (verdict.isPresent()) {
             answer.accept(toMessage(ask, verdict.get()));
@@ -128,6 +164,7 @@
             loop.schedule(
                     () -> {
                         looking = false;
+                        dispatcher.itemsWait(!complete(time.nanos()), time.nanos());
                         dispatcher.tick(time.nanos());
                         lookAgain();
                     },
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -46,6 +46,9 @@
     /** The permits that were asked to be given up. */
     private final Set<Held> recalled = new HashSet<>();
 
+    /** Whether items of jobs get no place, since not all places in use are known. */
+    private boolean itemsWait;
+
     /** Receives what is decided later. */
     private final Sink sink;
 
@@ -247,6 +250,20 @@
         }
     }
 
+    /**
+     * Lets items of jobs wait until all places in use are known, or no longer.
+     *
+     * @param value Whether they wait.
+     * @param now The present monotonic time in nanoseconds.
+     */
+    public void itemsWait(boolean value, long now) {
+        boolean before = itemsWait;
+        itemsWait = value;
+        if (before && !value) {
+            services.values().forEach(queue -> drain(queue, now));
+        }
+    }
+
     /** Returns whether anything waits. */
     public boolean waits() {
         return services.values().stream()
@@ -265,7 +282,9 @@
         if (!queue.hasTargets() && !ask.batch()) {
             return refused(Verdict.Reason.NO_TARGET, NO_TARGET_RETRY_MILLIS);
         }
-        boolean first = ask.batch() ? queue.batch().isEmpty() && queue.online().isEmpty() : !contended(queue, now);
+        boolean first = ask.batch()
+                ? !itemsWait && queue.batch().isEmpty() && queue.online().isEmpty()
+                : !contended(queue, now);
         Optional<Place> place = first ? queue.choose(ask, now) : Optional.empty();
         if (place.isPresent()) {
             return Optional.of(grant(queue, ask, place.get(), ask.onTimeNanos(), now));
@@ -307,7 +326,7 @@
                 return;
             }
         }
-        while (!queue.batch().isEmpty()) {
+        while (!itemsWait && !queue.batch().isEmpty()) {
             if (!serve(queue, queue.batch(), queue.nextBatch(now), now)) {
                 return;
             }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Work.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Work.java
@@ -34,7 +34,7 @@
 
     /**
      * Returns what the caller gains by a place, for the time that the item holds it. An item runs only while online
-     * requests leave a place. One that has not begun counts by its chance to end in time with the breaks to be expected;
+     * requests leave a place. One that has not begun counts by its chance to end in time with the expected breaks;
      * one that has begun goes before it, and counts as in time while it can be.
      *
      * @param slackNanos How long the item can wait and still end in time if it runs without a break, in nanoseconds.
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchClientTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchClientTest.java
@@ -117,6 +117,25 @@
         assertThat(verdicts.get(0), instanceOf(Verdict.Granted.class));
     }
 
+    /** Items wait for a new dispatcher only until all instances have told it which places are in use. */
+    @Test
+    void givesItemsPlacesAsSoonAsTheNextDispatcherKnowsAllPlacesInUse() {
+        introduce();
+        pass(3_000);
+        List<Long> held = first.takeAll();
+        assertThat(held, hasSize(CAPACITY));
+        first.liveness.stop();
+        second.liveness.observe(new Liveness.Sign(first.instance, 0, true), now);
+        second.client.tick(now);
+        List<Verdict> verdicts = second.ask(true);
+        assertThat(verdicts, is(empty()));
+        first.client.tick(now);
+        first.client.release(held.get(0), PlaceOutcome.SERVED);
+        first.client.release(held.get(1), PlaceOutcome.SERVED);
+        pass(300);
+        assertThat(verdicts, contains(instanceOf(Verdict.Granted.class)));
+    }
+
     /**
      * Load: the dispatcher is lost, and callers of a team go on below its rate. The next one takes over as soon as the
      * first does not answer, long before it counts as lost, and refuses none of them.
