Run items until their owner hands them over, and leave jobs to others that come while it leaves

Cause: an instance that leaves began no items, and took jobs that it could not hand over any more. Change: items ask until the hand-over; a job that is accepted by an instance that leaves has no owner, so that another one takes it over at once. Beside it: an item whose time is over is given up once (its line stood up to five times).

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -199,12 +199,11 @@
         addresses.forEach(address -> edge.listen(group, address));
     }
 
-    /** Begins a planned stop: the others are told, callers are sent elsewhere, and no item of a job is begun. */
+    /** Begins a planned stop: the others are told, and callers are sent elsewhere. */
     void leave() {
         events.record(GatewayEvent.LEAVING);
         liveness.stop();
         gossip.broadcast();
-        jobs.leave();
     }
 
     /** Hands jobs over. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayPlugin.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayPlugin.java
@@ -72,7 +72,7 @@
      */
     private static final Duration STOP_TAKING = Duration.ofSeconds(5);
 
-    /** The time that items of jobs get to end at a planned stop; the rest is handed over. */
+    /** The time after which jobs are handed over at a planned stop: items that run have had time to end. */
     private static final Duration HAND_OVER = Duration.ofMillis(3_500);
 
     /** The longest grace in seconds; a longer one is taken for an error. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -368,6 +368,9 @@
 
     /** Gives the item up. */
     void giveUp(String reason) {
+        if (state == State.DONE) {
+            return;
+        }
         context.events()
                 .record(GatewayEvent.ITEM_ABANDONED, "request", item.getId(), "job", job.id(), "reason", reason);
         stopExchange();
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
@@ -73,9 +73,6 @@
     /** Whether a write is on its way or scheduled. */
     private boolean writing;
 
-    /** Whether no more items are begun. */
-    private boolean leaving;
-
     /** Whether this instance no longer runs the job. */
     private boolean stopped;
 
@@ -199,11 +196,6 @@
         return stopped;
     }
 
-    /** Begins no more items; those that run go on. */
-    void leave() {
-        leaving = true;
-    }
-
     /**
      * Gives the job up, so that another instance takes it over at once. What its items have produced is recorded with
      * it; their runs end.
@@ -235,7 +227,7 @@
 
     /** Starts items for which there may be a place. */
     void proceed() {
-        if (stopped || !loaded || leaving || handingOver) {
+        if (stopped || !loaded || handingOver) {
             return;
         }
         Optional<Route> route = route();
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
@@ -124,11 +124,6 @@
         List.copyOf(runs.values()).forEach(JobRun::proceed);
     }
 
-    /** Begins no more items. */
-    public void leave() {
-        runs.values().forEach(JobRun::leave);
-    }
-
     /** Gives all own jobs to the others. */
     public void handOver() {
         runs.values().forEach(JobRun::handOver);
@@ -155,7 +150,7 @@
                 .setAcceptedMillis(context.time().wallMillis())
                 .setTotal(items.size())
                 .setTokensWaiting(tokens)
-                .setOwner(context.dispatch().self())
+                .setOwner(liveness.stopping() ? "" : context.dispatch().self())
                 .build();
         JobContent content = JobContent.newBuilder().addAllItems(items).build();
         context.store()
@@ -245,7 +240,7 @@
                         "owner",
                         record.row().getOwner());
         learn(record);
-        if (record.row().equals(row) && !runs.containsKey(row.getId())) {
+        if (record.row().equals(row) && !row.getOwner().isEmpty() && !runs.containsKey(row.getId())) {
             run(record).start(content);
         }
         answer.accept(new JobAnswer.Accepted());
--- /dev/null
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -0,0 +1,339 @@
+package org.tanagermoor.gateway.job;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.tanagermoor.gateway.FleetState;
+import org.tanagermoor.gateway.GatewayEvent;
+import org.tanagermoor.gateway.GatewayMetrics;
+import org.tanagermoor.gateway.dispatch.DispatchClient;
+import org.tanagermoor.gateway.dispatch.DispatchServer;
+import org.tanagermoor.gateway.dispatch.TeamRates;
+import org.tanagermoor.gateway.edge.CallHead;
+import org.tanagermoor.gateway.fleet.Backend;
+import org.tanagermoor.gateway.fleet.CallerLimits;
+import org.tanagermoor.gateway.fleet.FleetCodec;
+import org.tanagermoor.gateway.fleet.FleetConfiguration;
+import org.tanagermoor.gateway.fleet.Route;
+import org.tanagermoor.gateway.fleet.RouteKind;
+import org.tanagermoor.gateway.fleet.TargetEntry;
+import org.tanagermoor.gateway.follow.ChangeFeed;
+import org.tanagermoor.gateway.forward.Outgoing;
+import org.tanagermoor.gateway.forward.TargetConnections;
+import org.tanagermoor.gateway.forward.TargetHead;
+import org.tanagermoor.gateway.forward.TargetProtocol;
+import org.tanagermoor.gateway.member.Instance;
+import org.tanagermoor.gateway.member.Liveness;
+import org.tanagermoor.gateway.proto.JobItem;
+import org.tanagermoor.kernel.event.EventLog;
+import org.tanagermoor.kernel.event.EventRecord;
+import org.tanagermoor.kernel.event.EventType;
+import org.tanagermoor.kernel.failure.Failure;
+import org.tanagermoor.kernel.setting.Address;
+import org.tanagermoor.kernel.time.HybridClock;
+import org.tanagermoor.kernel.time.TimeSource;
+import org.tanagermoor.policy.fleet.InstanceId;
+import org.tanagermoor.store.object.ObjectStore;
+import org.tanagermoor.store.table.TableService;
+import org.tanagermoor.wire.link.Channel;
+import org.tanagermoor.wire.link.PeerHandler;
+import org.tanagermoor.wire.link.PeerLink;
+import reactor.core.publisher.Mono;
+
+/** Plays jobs of one instance on an event loop with a clock of its own; its targets cannot be connected to. */
+final class JobsTest {
+
+    /** The address of everything. */
+    private static final Address ADDRESS = Address.of("127.0.0.1", 1);
+
+    /** The targets. */
+    private static final List<String> TARGETS = List.of("t-1", "t-2", "t-3");
+
+    /** The time after which items are given up, in milliseconds. */
+    private static final long ABANDON_MILLIS = 60_000;
+
+    /** The route of jobs. */
+    private static final Route ROUTE = new Route(
+            "batch",
+            "host",
+            "/batch/",
+            RouteKind.BATCH,
+            List.of(new Backend("s", 1)),
+            15_000,
+            400,
+            3,
+            false,
+            true,
+            new Route.BatchLimits(18_000, ABANDON_MILLIS, 0));
+
+    /** The channel whose event loop runs everything. */
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+
+    /** The items of the events, by type. */
+    private final Map<EventType, List<String>> recorded = new HashMap<>();
+
+    /** The store. */
+    private final JobStore store = JobStore.of(TableService.InMemory.of(), ObjectStore.InMemory.of());
+
+    /** The present time in nanoseconds. */
+    private long now = TimeUnit.SECONDS.toNanos(100);
+
+    /** The configuration and the targets. */
+    private FleetState fleet;
+
+    /** Which instances run. */
+    private Liveness liveness;
+
+    /** The asks. */
+    private DispatchClient dispatch;
+
+    /** The decisions. */
+    private DispatchServer server;
+
+    /** The jobs. */
+    private Jobs jobs;
+
+    /** Sets an instance up that is alone and long past its start. */
+    @BeforeEach
+    void start() {
+        Clock clock = new Clock();
+        Log log = new Log();
+        PeerLink link = new NoPeers();
+        liveness = Liveness.of(new Instance(InstanceId.of("i", 1), ADDRESS, ADDRESS, "lisbon", 0, 1));
+        fleet = FleetState.of(new Codec(), log, () -> {});
+        fleet.operatorChanged(List.of(new ChangeFeed.Change("config", 1, new byte[0])));
+        TARGETS.forEach(id -> fleet.targetsChanged(List.of(new ChangeFeed.Change(id, 2, new byte[0])), now, now));
+        TeamRates rates = TeamRates.of();
+        server = DispatchServer.of(channel.eventLoop(), link, liveness, clock, rates);
+        server.dispatcher().targets(fleet.usable(), service -> 0, now);
+        dispatch = DispatchClient.of(channel.eventLoop(), link, liveness, server, rates, log, clock);
+        JobContext context = new JobContext(
+                channel.eventLoop(),
+                fleet,
+                dispatch,
+                TargetConnections.of(channel.eventLoop(), new Protocol(), clock),
+                store,
+                log,
+                GatewayMetrics.of(new MetricRegistry()),
+                clock,
+                "lisbon",
+                new HashMap<>(),
+                ItemPace.of());
+        jobs = Jobs.of(context, liveness, () -> true);
+        pass(5_000);
+    }
+
+    /** A job that is accepted by an instance that leaves belongs to nobody, so that another takes it over at once. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void leavesJobsToOthersThatAreAcceptedWhileItLeaves(boolean leaving) {
+        if (leaving) {
+            liveness.stop();
+        }
+        submit(2);
+        pass(100);
+        String owner = store.read("j").block().get().get().row().getOwner();
+        assertThat(owner, is(leaving ? "" : dispatch.self()));
+        assertThat(recorded.containsKey(GatewayEvent.REQUEST_PLACED), is(!leaving));
+    }
+
+    /** An item whose run ends without a result while its owner leaves asks again, until the job is handed over. */
+    @Test
+    void asksForItemsUntilTheyAreHandedOver() {
+        server.dispatcher().targets(List.of(), service -> 0, now);
+        submit(1);
+        liveness.stop();
+        pass(100);
+        server.dispatcher().targets(fleet.usable(), service -> 0, now);
+        pass(1_000);
+        assertThat(recorded.get(GatewayEvent.REQUEST_PLACED), hasSize(TARGETS.size()));
+        jobs.handOver();
+        pass(1_000);
+        assertThat(recorded.get(GatewayEvent.JOB_HANDED_OVER), contains("j"));
+    }
+
+    /** Each item whose time is over is given up once. */
+    @Test
+    void givesEachItemUpOnce() {
+        server.dispatcher().targets(List.of(), service -> 0, now);
+        submit(5);
+        pass(ABANDON_MILLIS + 1_000);
+        assertThat(recorded.get(GatewayEvent.ITEM_ABANDONED), containsInAnyOrder("0", "1", "2", "3", "4"));
+        assertThat(store.read("j").block().get().get().row().getRecorded(), is(5));
+    }
+
+    /** Submits a job with some items. */
+    private void submit(int count) {
+        CallHead head = new CallHead("j", "POST", "/batch/j", "/batch/j", "host", null, 0, 0, 0, List.of());
+        List<JobItem> items = IntStream.range(0, count)
+                .mapToObj(item -> JobItem.newBuilder()
+                        .setId(Integer.toString(item))
+                        .setPath("/batch/j")
+                        .build())
+                .toList();
+        jobs.submit(head, ROUTE, "shop", items, answer -> assertThat(answer, is(new JobAnswer.Accepted())));
+        channel.runPendingTasks();
+    }
+
+    /** Lets time pass, in milliseconds. */
+    private void pass(long millis) {
+        for (long passed = 0; passed < millis; passed += 10) {
+            now += TimeUnit.MILLISECONDS.toNanos(10);
+            channel.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+            if (passed % 250 == 0) {
+                dispatch.tick(now);
+                server.tick(now);
+                jobs.tick(now);
+            }
+            channel.runPendingTasks();
+        }
+    }
+
+    /** A clock that tells the time of the test. */
+    private final class Clock implements TimeSource {
+
+        /** {@inheritDoc} */
+        @Override
+        public long nanos() {
+            return now;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public long wallMillis() {
+            return TimeUnit.NANOSECONDS.toMillis(now);
+        }
+    }
+
+    /** A log that keeps the items of the events, or their jobs. */
+    private final class Log implements EventLog {
+
+        /** {@inheritDoc} */
+        @Override
+        public void record(EventType type, Object... fields) {
+            recorded.computeIfAbsent(type, key -> new ArrayList<>()).add(fields.length < 2 ? "" : fields[1].toString());
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public List<EventRecord> since(long sequence, int limit) {
+            return List.of();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public HybridClock clock() {
+            return new HybridClock();
+        }
+    }
+
+    /** A configuration with one route, and targets. */
+    private static final class Codec implements FleetCodec {
+
+        /** {@inheritDoc} */
+        @Override
+        public String operatorTable() {
+            return "op";
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public String targetTable() {
+            return "targets";
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public String configurationKey() {
+            return "config";
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public Either<Failure, FleetConfiguration> configuration(byte[] value) {
+            return Either.right(
+                    FleetConfiguration.of(1, List.of(ROUTE), List.of(), List.of(), Map.of(), CallerLimits.DEFAULT));
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public Optional<String> evacuatedDomain(String key) {
+            return Optional.empty();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public Either<Failure, TargetEntry> target(String id, byte[] value) {
+            return Either.right(new TargetEntry(id, "s", ADDRESS, "lisbon", 16, false, 0, 0));
+        }
+    }
+
+    /** A protocol whose requests reach nobody. */
+    private static final class Protocol implements TargetProtocol {
+
+        /** {@inheritDoc} */
+        @Override
+        public FullHttpRequest request(Outgoing outgoing, TargetEntry target) {
+            return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, outgoing.uri());
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public TargetHead head(HttpResponse response) {
+            throw new AssertionError("no target answers");
+        }
+    }
+
+    /** A link without other instances. */
+    private static final class NoPeers implements PeerLink {
+
+        /** {@inheritDoc} */
+        @Override
+        public void handle(Channel to, PeerHandler handler) {
+            // Nobody calls.
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public Mono<Either<Failure, byte[]>> call(
+                Address address, long incarnation, Channel to, byte[] request, Duration timeout) {
+            return Mono.just(
+                    Either.left(Failure.unknown(Failure.Kind.TIMEOUT, "link.call", address.toString(), "no answer")));
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public Address address() {
+            return ADDRESS;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public long bytes() {
+            return 0;
+        }
+    }
+}
