Read a bounded number of bytes that are no answer

An item took events in their order without bound, until memory ends. An event without a number, which is no event of a stream, was passed on to callers.

The search for the end of an event goes on where it was, and not at the begin of its line.

Ruled out as open: endless status lines, headers, chunk sizes and trailers were bounded before.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -368,6 +368,9 @@
             }
             if (event.number() > 0) {
                 lastEvent = event.number();
+            } else if (route.kind() == RouteKind.STREAM && !event.comment()) {
+                broken("the bytes are no event");
+                return;
             }
             responder.body(Unpooled.wrappedBuffer(event.bytes()));
         }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/EventFrames.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/EventFrames.java
@@ -16,6 +16,9 @@
     /** The name of the field with the number of an event. */
     private static final String ID = "id:";
 
+    /** What a line begins with that is a comment. */
+    private static final String COMMENT = ":";
+
     /** The name of the field with the data of an event. */
     private static final String DATA = "data:";
 
@@ -25,6 +28,9 @@
     /** Where the search for the end of the event goes on. */
     private int scanned;
 
+    /** Whether the line at which the search goes on is empty so far. */
+    private boolean lineEmpty = true;
+
     /** Creates an empty cutter. */
     private EventFrames() {}
 
@@ -46,7 +52,7 @@
         for (int end = end(); end > 0; end = end()) {
             byte[] bytes = ByteBufUtil.getBytes(pending, pending.readerIndex(), end - pending.readerIndex());
             pending.readerIndex(end);
-            scanned = end;
+            lineEmpty = true;
             result.add(event(bytes));
         }
         if (pending.readableBytes() > PENDING_MOST) {
@@ -64,16 +70,14 @@
 
     /** Returns the index after the next empty line, or 0 if the event is not complete. */
     private int end() {
-        boolean lineEmpty = true;
-        int lineStart = Math.max(scanned, pending.readerIndex());
-        for (int index = lineStart; index < pending.writerIndex(); index++) {
+        for (int index = Math.max(scanned, pending.readerIndex()); index < pending.writerIndex(); index++) {
+            scanned = index + 1;
             byte value = pending.getByte(index);
             if (value == '\n') {
                 if (lineEmpty && index > pending.readerIndex()) {
                     return index + 1;
                 }
                 lineEmpty = true;
-                scanned = index + 1;
             } else if (value != '\r') {
                 lineEmpty = false;
             }
@@ -86,7 +90,9 @@
         long number = 0;
         StringBuilder data = new StringBuilder();
         boolean hasData = false;
+        boolean comment = true;
         for (String line : new String(bytes, StandardCharsets.UTF_8).split("\r?\n")) {
+            comment &= line.isEmpty() || line.startsWith(COMMENT);
             if (line.startsWith(ID)) {
                 number = number(value(line, ID));
             } else if (line.startsWith(DATA)) {
@@ -94,7 +100,7 @@
                 hasData = true;
             }
         }
-        return new Event(bytes, number, data.toString());
+        return new Event(bytes, number, data.toString(), comment);
     }
 
     /** Returns the value of a field, without the one space that may precede it. */
@@ -118,7 +124,8 @@
      * @param bytes Its bytes with the empty line that ends it.
      * @param number Its number; 0 if it has none.
      * @param data Its data.
+     * @param comment Whether it has no field, as targets send to keep a stream alive.
      */
     @SuppressWarnings("ArrayRecordComponent")
-    public record Event(byte[] bytes, long number, String data) {}
+    public record Event(byte[] bytes, long number, String data, boolean comment) {}
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
@@ -24,6 +24,15 @@
     /** The first status that is not informational. */
     private static final int FINAL_STATUS = 200;
 
+    /**
+     * The most bytes that are skipped before the answer to a request: some answers to earlier requests, as targets in
+     * trouble send late. A target may also send such bytes without end.
+     */
+    private static final long SKIPPED_BYTES_MOST = 1L << 20;
+
+    /** What the head of a skipped answer counts for, in bytes: a short one. */
+    private static final long SKIPPED_HEAD_BYTES = 256;
+
     /** The target. */
     private final TargetEntry target;
 
@@ -55,6 +64,9 @@
     /** Whether an answer that belongs to no request is being skipped. */
     private boolean skipping;
 
+    /** The bytes that were skipped since the request was sent. */
+    private long skipped;
+
     /** Whether the connection can be used again after the present answer. */
     private boolean reusable;
 
@@ -105,6 +117,7 @@
         id = requestId;
         head = null;
         reusable = false;
+        skipped = 0;
         if (context == null) {
             ReferenceCountUtil.release(request);
             fail("not connected", false);
@@ -185,6 +198,7 @@
     private void begin(HttpResponse response) {
         if (response.status().code() < FINAL_STATUS) {
             skipping = true;
+            skip(SKIPPED_HEAD_BYTES);
             return;
         }
         TargetHead read = protocol.head(response);
@@ -192,6 +206,7 @@
         boolean anonymous = read.id().isEmpty() && !read.notRun() && !read.otherTarget();
         if (other) {
             skipping = true;
+            skip(SKIPPED_HEAD_BYTES);
             return;
         }
         if (anonymous) {
@@ -208,10 +223,19 @@
         }
     }
 
+    /** Counts bytes that belong to no request, and ends the exchange if there are too many. */
+    private void skip(long bytes) {
+        skipped += bytes;
+        if (skipped > SKIPPED_BYTES_MOST) {
+            close("too many bytes that belong to no request");
+        }
+    }
+
     /** Takes a piece of the body. */
     private void piece(HttpContent content) {
         if (skipping) {
             skipping = !(content instanceof LastHttpContent);
+            skip(content.content().readableBytes());
             return;
         }
         TargetListener receiver = listener;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -53,6 +53,9 @@
     /** The silence after which a target counts as lost, in nanoseconds: many pauses between events of a slow one. */
     private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
+    /** The most characters of an output: readers get 1 MB at once. A target may also send events without end. */
+    private static final int OUTPUT_MOST = 900_000;
+
     /** What jobs need. */
     private final JobContext context;
 
@@ -175,10 +178,7 @@
     /** Ends a run at a target that has gone silent, and lets the item go on elsewhere. */
     void watch(long now) {
         if (state == State.RUNNING && now - heardAt > SILENCE_NANOS) {
-            failedRun("nothing came for " + TimeUnit.NANOSECONDS.toMillis(now - heardAt) + " ms");
-            excluded.add(targetId());
-            stopExchange();
-            again(PlaceOutcome.FAILED, RETRY_MILLIS);
+            brokenOff("nothing came for " + TimeUnit.NANOSECONDS.toMillis(now - heardAt) + " ms");
         }
     }
 
@@ -325,11 +325,17 @@
             return;
         }
         for (EventFrames.Event event : frames.add(content)) {
+            if (event.comment()) {
+                continue;
+            }
             if (event.number() != lastEvent + 1) {
-                failedRun("event " + event.number() + " came after event " + lastEvent);
-                excluded.add(targetId());
-                stopExchange();
-                again(PlaceOutcome.FAILED, RETRY_MILLIS);
+                brokenOff("event " + event.number() + " came after event " + lastEvent);
+                return;
+            }
+            if (output.length() + event.data().length() >= OUTPUT_MOST) {
+                brokenOff("the output is longer than a reader can get");
+                output.setLength(0);
+                lastEvent = 0;
                 return;
             }
             output.append(lastEvent == 0 ? "" : "\n").append(event.data());
@@ -425,6 +431,14 @@
         }
     }
 
+    /** Ends the present run, whose target does not do what it should, and lets the item go on elsewhere. */
+    private void brokenOff(String detail) {
+        failedRun(detail);
+        excluded.add(targetId());
+        stopExchange();
+        again(PlaceOutcome.FAILED, RETRY_MILLIS);
+    }
+
     /** Records that the target failed the present run. */
     private void failedRun(String detail) {
         context.metrics().exchangeFailed();
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/EventFramesTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/EventFramesTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.buffer.Unpooled;
 import java.io.ByteArrayOutputStream;
@@ -9,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests of the cutting of streams into events. */
@@ -56,4 +58,26 @@
         assertThat(frames.add(Unpooled.wrappedBuffer(bytes)).size(), is(3));
         assertThat(new String(frames.rest(), StandardCharsets.UTF_8), is(rest));
     }
+
+    /** An event without end is refused after a bounded number of bytes, whatever they are. */
+    @ParameterizedTest
+    @ValueSource(strings = {"x", "data: x\n", "\r"})
+    void refusesAnEventWithoutEnd(String endless) {
+        byte[] bytes = endless.repeat(1_000).getBytes(StandardCharsets.UTF_8);
+        EventFrames frames = EventFrames.of();
+        assertThrows(IllegalArgumentException.class, () -> {
+            for (int piece = 0; piece < 10_000; piece++) {
+                frames.add(Unpooled.wrappedBuffer(bytes));
+            }
+        });
+    }
+
+    /** What has no field keeps a stream alive; anything else without a number is told apart from it. */
+    @ParameterizedTest
+    @CsvSource({"':', true", "': alive', true", "'', true", "'data: x', false", "'x', false"})
+    void tellsCommentsFromEvents(String line, boolean comment) {
+        EventFrames frames = EventFrames.of();
+        byte[] bytes = (line + "\r\n\r\n").getBytes(StandardCharsets.UTF_8);
+        assertThat(frames.add(Unpooled.wrappedBuffer(bytes)).get(0).comment(), is(comment));
+    }
 }
--- /dev/null
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/TargetConnectionsTest.java
@@ -0,0 +1,182 @@
+package org.tanagermoor.gateway.forward;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.tanagermoor.gateway.fleet.TargetEntry;
+import org.tanagermoor.kernel.failure.Failure;
+import org.tanagermoor.kernel.setting.Address;
+import org.tanagermoor.kernel.time.TimeSource;
+
+/** Tests of the connections to targets, before a target that sends given bytes. */
+final class TargetConnectionsTest {
+
+    /** The longest time for which a test waits, in seconds. */
+    private static final long PATIENCE_SECONDS = 10;
+
+    /** The most bytes that a target may get rid of: what is skipped, and what both sockets hold. */
+    private static final long SENT_MOST = 24L << 20;
+
+    /** The event loop. */
+    private MultiThreadIoEventLoopGroup group;
+
+    /** The target. */
+    private ServerSocket target;
+
+    /** Starts to listen. */
+    @BeforeEach
+    void start() throws IOException {
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        target = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    }
+
+    /** Ends all. */
+    @AfterEach
+    void stop() throws IOException {
+        target.close();
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    /**
+     * Bytes that are no answer may come without end. The connection is closed after a bounded number of them, and the
+     * request fails, whose fate is not known.
+     */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "a status line         |                                                                      | x",
+                "a header              | HTTP/1.1 200 OK~X-Request-Id: r~A:                                    | x",
+                "headers               | HTTP/1.1 200 OK~                                                     | A: b~",
+                "informational answers | ''                                                                   | HTTP/1.1 100 Continue~~",
+                "answers to others     | ''                                                                   | HTTP/1.1 200 OK~X-Request-Id: q~Content-Length: 1~~x",
+                "an answer to another  | HTTP/1.1 200 OK~X-Request-Id: q~~                                     | x",
+                "chunks to another     | HTTP/1.1 200 OK~X-Request-Id: q~Transfer-Encoding: chunked~~          | 1~x~",
+                "the size of a chunk   | HTTP/1.1 200 OK~X-Request-Id: r~Transfer-Encoding: chunked~~          | 0",
+                "trailers              | HTTP/1.1 200 OK~X-Request-Id: r~Transfer-Encoding: chunked~~0~        | A: b~"
+            })
+    void endsAnExchangeWhoseBytesAreNoAnswerAndHaveNoEnd(String kind, String begin, String endless)
+            throws InterruptedException, ExecutionException, TimeoutException {
+        CompletableFuture<Long> sent = sendWithoutEnd(bytes(begin == null ? "" : begin), bytes(endless));
+        CompletableFuture<Failure> failure = send();
+        assertThat(kind, failure.get(PATIENCE_SECONDS, TimeUnit.SECONDS).step(), is("target.exchange"));
+        assertThat(kind, sent.get(PATIENCE_SECONDS, TimeUnit.SECONDS), is(lessThan(SENT_MOST)));
+    }
+
+    /** Sends a request, and returns its failure. */
+    private CompletableFuture<Failure> send() {
+        CompletableFuture<Failure> failure = new CompletableFuture<>();
+        EventLoop loop = group.next();
+        TargetConnections connections = TargetConnections.of(loop, new Protocol(), TimeSource.ForSystem.INSTANCE);
+        TargetEntry entry =
+                new TargetEntry("t", "s", Address.of("127.0.0.1", target.getLocalPort()), "lisbon", 1, false, 0, 0);
+        Outgoing outgoing = new Outgoing("POST", "/", List.of(), Unpooled.EMPTY_BUFFER, "r", "", 0, 0);
+        loop.execute(() -> connections.send(entry, outgoing, new Listener(failure)));
+        return failure;
+    }
+
+    /** Answers a request with bytes until the connection is closed, and returns how many there were. */
+    private CompletableFuture<Long> sendWithoutEnd(byte[] begin, byte[] endless) {
+        byte[] block = new String(endless, StandardCharsets.UTF_8).repeat(8_192).getBytes(StandardCharsets.UTF_8);
+        return CompletableFuture.supplyAsync(() -> {
+            long sent = begin.length;
+            try (Socket socket = target.accept()) {
+                awaitRequest(socket.getInputStream());
+                OutputStream output = socket.getOutputStream();
+                output.write(begin);
+                while (sent < 4 * SENT_MOST) {
+                    output.write(block);
+                    sent += block.length;
+                }
+            } catch (IOException closed) {
+                return sent;
+            }
+            return sent;
+        });
+    }
+
+    /** Reads a request to the end of its head. */
+    private static void awaitRequest(InputStream input) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            head.append((char) input.read());
+        }
+    }
+
+    /** Returns the bytes of a text, in which a tilde stands for the end of a line. */
+    private static byte[] bytes(String text) {
+        return text.replace("~", "\r\n").getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Receives an answer that cannot be whole. */
+    private record Listener(CompletableFuture<Failure> failure) implements TargetListener {
+
+        /** {@inheritDoc} */
+        @Override
+        public void head(TargetHead head, HttpResponse response) {
+            // An answer may begin well.
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void body(ByteBuf content) {
+            // Its body may, too.
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void end() {
+            failure.completeExceptionally(new AssertionError("the answer looks whole"));
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void failed(Failure cause) {
+            failure.complete(cause);
+        }
+    }
+
+    /** A protocol that names the request in a header. */
+    private static final class Protocol implements TargetProtocol {
+
+        /** {@inheritDoc} */
+        @Override
+        public FullHttpRequest request(Outgoing outgoing, TargetEntry entry) {
+            return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, outgoing.uri());
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public TargetHead head(HttpResponse response) {
+            String id = response.headers().get("X-Request-Id", "");
+            return new TargetHead(response.status().code(), id, false, false, true, false, 0);
+        }
+    }
+}
