Hold the addresses that tests give to processes

Cause: a test asked the system for a free port, gave it back and told it to a process that starts a second later. Until then the system may give it to any connection or listener. Ruled out: two instances with one port (the list of ports of the fleet has no repeat), an instance that had not ended (it was e2's first start).

Change: ReservedAddress holds an address by a bound socket that never listens, and that lets others listen that bind with address reuse, as all our listeners do.

--- a/tanagermoor-session/src/test/java/org/tanagermoor/session/Fleet.java
+++ b/tanagermoor-session/src/test/java/org/tanagermoor/session/Fleet.java
@@ -3,11 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.io.PrintStream;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -21,6 +17,7 @@
 import org.tanagermoor.cli.command.Surroundings;
 import org.tanagermoor.http.Digests;
 import org.tanagermoor.http.Json;
+import org.tanagermoor.standin.link.ReservedAddress;
 
 /** A fleet of separate processes: a stand-in platform, stand-in targets and instances. */
 final class Fleet implements AutoCloseable {
@@ -37,6 +34,8 @@
 
     private final List<String> instances = new ArrayList<>();
 
+    private final List<ReservedAddress> reserved = new ArrayList<>();
+
     private String key = "";
 
     /** Starts a stand-in platform. */
@@ -57,8 +56,8 @@
 
     /** Starts an instance without waiting for it; more flags may follow. */
     Fleet instance(String name, String domain, String... flags) {
-        addresses.computeIfAbsent(name, ignored -> "127.0.0.1:" + freePort());
-        String peer = addresses.computeIfAbsent(name + "/peer", ignored -> "127.0.0.1:" + freePort());
+        addresses.computeIfAbsent(name, ignored -> reservedAddress());
+        String peer = addresses.computeIfAbsent(name + "/peer", ignored -> reservedAddress());
         List<String> arguments = new ArrayList<>(List.of(
                 "--instance-name",
                 name,
@@ -82,7 +81,7 @@
 
     /** Starts an instance that the others reach through a relay only; more flags may follow. */
     Fleet relayedInstance(String name, String domain, String... flags) {
-        relay(name + "/link", addresses.computeIfAbsent(name + "/peer", ignored -> "127.0.0.1:" + freePort()));
+        relay(name + "/link", addresses.computeIfAbsent(name + "/peer", ignored -> reservedAddress()));
         List<String> all = new ArrayList<>(List.of("--advertised-peer-address", address(name + "/link")));
         all.addAll(List.of(flags));
         return instance(name, domain, all.toArray(String[]::new));
@@ -250,6 +249,7 @@
     @Override
     public void close() {
         processes.values().forEach(StartedProcess::close);
+        reserved.forEach(ReservedAddress::close);
     }
 
     private void start(String name, String mainClass, List<String> arguments) {
@@ -259,12 +259,10 @@
         }
     }
 
-    private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        } catch (IOException exception) {
-            throw new UncheckedIOException(exception);
-        }
+    private String reservedAddress() {
+        ReservedAddress address = ReservedAddress.of();
+        reserved.add(address);
+        return address.address();
     }
 
     /** How a command ended. */
