End answers that bring bytes without end and no new event

What callers would see: a target in trouble that sends comments, or one event again and again, without end.

Cause: any byte counted as a sign of life, and an event cutter bounded only the bytes of one event.

Change: the cutter takes 1 MiB at most without a new event, whatever the bytes are; a target is silent when no new event comes, for items and streams alike.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -282,7 +282,7 @@
         } else if (answering && !responder.writable()) {
             watchIn(SILENCE_MILLIS);
         } else {
-            broken("nothing came for " + quiet + " ms");
+            broken("no event came for " + quiet + " ms");
         }
     }
 
@@ -309,8 +309,8 @@
     /** {@inheritDoc} */
     @Override
     public void body(ByteBuf content) {
-        heardAt = context.time().nanos();
         if (frames == null) {
+            heardAt = context.time().nanos();
             responder.body(content.retainedSlice());
         } else {
             forwardEvents(frames, content);
@@ -368,6 +368,7 @@
             }
             if (event.number() > 0) {
                 lastEvent = event.number();
+                heardAt = context.time().nanos();
             } else if (route.kind() == RouteKind.STREAM && !event.comment()) {
                 broken("the bytes are no event");
                 return;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/EventFrames.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/EventFrames.java
@@ -10,8 +10,8 @@
 /** Cuts a stream into whole events without changing a byte. Not safe for use by several threads. */
 public final class EventFrames {
 
-    /** The most bytes of an event that is not complete. */
-    private static final int PENDING_MOST = 1 << 20;
+    /** The most bytes without a new event: more than the longest event and the comments before it. */
+    private static final int IDLE_BYTES_MOST = 1 << 20;
 
     /** The name of the field with the number of an event. */
     private static final String ID = "id:";
@@ -28,6 +28,12 @@
     /** Where the search for the end of the event goes on. */
     private int scanned;
 
+    /** The highest number of an event so far. */
+    private long lastNumber;
+
+    /** The bytes of whole comments and of repeated events since the last new event. */
+    private long idleBytes;
+
     /** Whether the line at which the search goes on is empty so far. */
     private boolean lineEmpty = true;
 
@@ -44,7 +50,7 @@
      *
      * @param content The bytes, which are read to their end.
      * @return The events that are complete now.
-     * @throws IllegalArgumentException If an event is too long.
+     * @throws IllegalArgumentException If too many bytes came without a new event.
      */
     public List<Event> add(ByteBuf content) {
         pending.writeBytes(content);
@@ -53,16 +59,29 @@
             byte[] bytes = ByteBufUtil.getBytes(pending, pending.readerIndex(), end - pending.readerIndex());
             pending.readerIndex(end);
             lineEmpty = true;
-            result.add(event(bytes));
+            Event event = event(bytes);
+            note(event);
+            result.add(event);
         }
-        if (pending.readableBytes() > PENDING_MOST) {
-            throw new IllegalArgumentException("an event is too long");
+        if (idleBytes + pending.readableBytes() > IDLE_BYTES_MOST) {
+            throw new IllegalArgumentException("too many bytes without a new event");
         }
         scanned -= pending.readerIndex();
         pending.discardReadBytes();
         return result;
     }
 
+    /** Takes in whether an event is a new one. */
+    private void note(Event event) {
+        boolean numbered = event.number() > 0;
+        if (numbered ? event.number() > lastNumber : !event.comment()) {
+            lastNumber = Math.max(lastNumber, event.number());
+            idleBytes = 0;
+        } else {
+            idleBytes += event.bytes().length;
+        }
+    }
+
     /** Returns the bytes after the last complete event. */
     public byte[] rest() {
         return ByteBufUtil.getBytes(pending);
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -102,7 +102,7 @@
     /** The status of the present answer. */
     private int status;
 
-    /** The monotonic time in nanoseconds at which something last came from the target. */
+    /** The monotonic time in nanoseconds at which the head or a new event last came from the target. */
     private long heardAt;
 
     /** The monotonic time in nanoseconds at which the present run began. */
@@ -178,7 +178,7 @@
     /** Ends a run at a target that has gone silent, and lets the item go on elsewhere. */
     void watch(long now) {
         if (state == State.RUNNING && now - heardAt > SILENCE_NANOS) {
-            brokenOff("nothing came for " + TimeUnit.NANOSECONDS.toMillis(now - heardAt) + " ms");
+            brokenOff("no event came for " + TimeUnit.NANOSECONDS.toMillis(now - heardAt) + " ms");
         }
     }
 
@@ -320,7 +320,6 @@
     /** {@inheritDoc} */
     @Override
     public void body(ByteBuf content) {
-        heardAt = context.time().nanos();
         if (state != State.RUNNING || status != OK_STATUS) {
             return;
         }
@@ -340,6 +339,7 @@
             }
             output.append(lastEvent == 0 ? "" : "\n").append(event.data());
             lastEvent = event.number();
+            heardAt = context.time().nanos();
         }
     }
 
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/EventFramesTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/EventFramesTest.java
@@ -59,10 +59,10 @@
         assertThat(new String(frames.rest(), StandardCharsets.UTF_8), is(rest));
     }
 
-    /** An event without end is refused after a bounded number of bytes, whatever they are. */
+    /** Bytes without end that bring no new event are refused after a bounded number of them, whatever they are. */
     @ParameterizedTest
-    @ValueSource(strings = {"x", "data: x\n", "\r"})
-    void refusesAnEventWithoutEnd(String endless) {
+    @ValueSource(strings = {"x", "data: x\n", "\r", "\n", ":\n\n", "id: 1\ndata: x\n\n"})
+    void refusesBytesWithoutEndAndWithoutANewEvent(String endless) {
         byte[] bytes = endless.repeat(1_000).getBytes(StandardCharsets.UTF_8);
         EventFrames frames = EventFrames.of();
         assertThrows(IllegalArgumentException.class, () -> {
