Delete jobs that have ended after their retention

What callers would see: jobs, their objects and rows stayed in the store for ever, and in the memory of each instance. The store holds 400 MB; once it is full, no job is accepted any more.

Test: JobsTest.deletesAJobPastItsRetention (kept until then and while open; nothing left; store that fails for a while).

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -126,22 +126,7 @@
         connections = TargetConnections.of(loop, context.service(TargetProtocol.class), time);
         GatewayMetrics metrics = GatewayMetrics.of(context.metrics());
         TableService tables = context.service(TableService.class);
-        JobStore store = JobStore.of(tables, context.service(ObjectStore.class));
-        jobs = Jobs.of(
-                new JobContext(
-                        loop,
-                        fleet,
-                        dispatchClient,
-                        connections,
-                        store,
-                        events,
-                        metrics,
-                        time,
-                        domain,
-                        new HashMap<>(),
-                        ItemPace.of()),
-                liveness,
-                this::jobsCurrent);
+        jobs = Jobs.of(jobContext(context, tables, metrics, domain), liveness, this::jobsCurrent);
         jobTable = follow(feed, JobStore.JOBS, this::jobPause, jobs::changed);
         CallerProtocol protocol = context.service(CallerProtocol.class);
         edge = Edge.of(
@@ -174,6 +159,23 @@
         return new Gateway(context, loop);
     }
 
+    /** Returns what jobs need, when all that it consists of is there. */
+    private JobContext jobContext(Context context, TableService tables, GatewayMetrics metrics, String domain) {
+        return new JobContext(
+                loop,
+                fleet,
+                dispatchClient,
+                connections,
+                JobStore.of(tables, context.service(ObjectStore.class)),
+                events,
+                metrics,
+                time,
+                domain,
+                new HashMap<>(),
+                ItemPace.of(),
+                context.settings().value(GatewayPlugin.JOB_RETENTION));
+    }
+
     /** Returns this instance, as its settings describe it. */
     private static Instance self(Context context, PeerLink link) {
         return new Instance(
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
@@ -94,7 +94,10 @@
     ITEM_ENDED(2229, Level.INFO, "an item ended"),
 
     /** The items, results and progress of a job that was taken over were read. */
-    JOB_RESUMED(2230, Level.INFO, "a job that was taken over goes on");
+    JOB_RESUMED(2230, Level.INFO, "a job that was taken over goes on"),
+
+    /** All that was kept of a job was deleted, after the time for which it could be read. */
+    JOB_DELETED(2231, Level.INFO, "a job past its retention was deleted");
 
     /** What the catalogue says. */
     private final Entry entry;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayPlugin.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayPlugin.java
@@ -37,6 +37,12 @@
     public static final Setting<Address> DIRECTORY_ADDRESS =
             Setting.ofAddress("directory-address", "the address of the directory, as ip:port", "127.0.0.1:8082");
 
+    /** The longest grace in seconds; a longer one is taken for an error. */
+    private static final double GRACE_SECONDS_MOST = 3_600;
+
+    /** The longest retention in seconds, a year; a longer one is taken for an error. */
+    private static final double RETENTION_SECONDS_MOST = 366 * 86_400.0;
+
     /** The failure domain. */
     public static final Setting<String> FAILURE_DOMAIN =
             Setting.ofText("failure-domain", "the failure domain of this instance", null);
@@ -54,7 +60,14 @@
             "stop-grace-seconds",
             "the time after which a process that was told to stop is killed; it serves on for most of it",
             "8",
-            GatewayPlugin::seconds);
+            text -> seconds(text, GRACE_SECONDS_MOST));
+
+    /** The time after its acceptance for which a job that has ended can be read. */
+    public static final Setting<Duration> JOB_RETENTION = new Setting<>(
+            "job-retention-seconds",
+            "the time after its acceptance for which a job that has ended can be read, in seconds; then it is deleted",
+            "120",
+            text -> seconds(text, RETENTION_SECONDS_MOST));
 
     /** The processor share of the machine. */
     public static final Setting<Double> PROCESSOR_SHARE = new Setting<>(
@@ -75,9 +88,6 @@
     /** The time after which jobs are handed over at a planned stop: items that run have had time to end. */
     private static final Duration HAND_OVER = Duration.ofMillis(3_500);
 
-    /** The longest grace in seconds; a longer one is taken for an error. */
-    private static final double GRACE_SECONDS_MOST = 3_600;
-
     /** The milliseconds of a second. */
     private static final double MILLIS = 1_000;
 
@@ -122,6 +132,7 @@
                 FAILURE_DOMAIN,
                 SEEDS,
                 STOP_GRACE,
+                JOB_RETENTION,
                 PROCESSOR_SHARE);
     }
 
@@ -175,12 +186,12 @@
     }
 
     /** Reads a time in seconds. */
-    private static Either<String, Duration> seconds(String text) {
+    private static Either<String, Duration> seconds(String text, double most) {
         try {
             double value = Double.parseDouble(text);
-            return value >= 0 && value <= GRACE_SECONDS_MOST
+            return value >= 0 && value <= most
                     ? Either.right(Duration.ofMillis((long) (value * MILLIS)))
-                    : Either.left("must be from 0 to " + GRACE_SECONDS_MOST + ", but is " + text);
+                    : Either.left("must be from 0 to " + most + ", but is " + text);
         } catch (NumberFormatException exception) {
             return Either.left("is not a number: " + text);
         }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobContext.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobContext.java
@@ -1,6 +1,7 @@
 package org.tanagermoor.gateway.job;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.Map;
 import org.tanagermoor.gateway.FleetState;
 import org.tanagermoor.gateway.GatewayMetrics;
@@ -23,6 +24,7 @@
  * @param domain The failure domain of this instance.
  * @param runs The items that ask for a place or have one, by permit.
  * @param pace How long items run.
+ * @param retention The time after its acceptance for which a job that has ended can be read.
  */
 public record JobContext(
         EventLoop loop,
@@ -35,4 +37,5 @@
         TimeSource time,
         String domain,
         Map<Long, ItemRun> runs,
-        ItemPace pace) {}
+        ItemPace pace,
+        Duration retention) {}
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobStore.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobStore.java
@@ -44,6 +44,9 @@
     /** The most rows of one read. */
     private static final int READ_MOST = 200;
 
+    /** The most rows that one commit deletes: commits hold 100 entries, one of them the condition. */
+    private static final int DELETE_MOST = 90;
+
     /** The table service. */
     private final TableService tables;
 
@@ -133,6 +136,54 @@
                 }));
     }
 
+    /**
+     * Deletes all that is kept of a job. Its row goes last, so that a deletion that ended early can be repeated.
+     *
+     * @param job The job as it is known.
+     * @return The job that was deleted, or a failure, also if its row has changed.
+     */
+    public Mono<Either<Failure, JobRecord>> delete(JobRecord job) {
+        String id = job.row().getId();
+        return objects.delete(objectName(id))
+                .flatMap(deleted -> deleted.isLeft()
+                        ? Mono.just(Either.left(deleted.getLeft()))
+                        : deleteRows(job, List.of(table(RESULTS, id), table(PROGRESS, id))));
+    }
+
+    /** Deletes the rows of a job in tables, then its own row. */
+    private Mono<Either<Failure, JobRecord>> deleteRows(JobRecord job, List<String> from) {
+        if (from.isEmpty()) {
+            return delete(job, List.of(jobKey(job.row().getId())));
+        }
+        return tables.scan(from.get(0), job.row().getId() + "/", "", DELETE_MOST)
+                .flatMap(rows -> {
+                    if (rows.isLeft()) {
+                        return Mono.just(Either.left(rows.getLeft()));
+                    }
+                    if (rows.get().isEmpty()) {
+                        return deleteRows(job, from.subList(1, from.size()));
+                    }
+                    return delete(job, rows.get().stream().map(Row::key).toList())
+                            .flatMap(deleted -> deleted.isLeft() ? Mono.just(deleted) : deleteRows(job, from));
+                });
+    }
+
+    /** Deletes rows, unless the row of the job has changed. */
+    private Mono<Either<Failure, JobRecord>> delete(JobRecord job, List<RowKey> rows) {
+        Transaction transaction =
+                Transaction.EMPTY.withCondition(jobKey(job.row().getId()), job.version());
+        for (RowKey row : rows) {
+            transaction = transaction.withDelete(row);
+        }
+        return tables.commit(transaction)
+                .map(result -> result.flatMap(committed -> switch (committed) {
+                    case CommitResult.Committed done -> Either.right(job);
+                    case CommitResult.Conflict conflict ->
+                        Either.left(Failure.notRun(
+                                Failure.Kind.CONFLICT, "job.delete", Failure.LOCAL, "the row has changed"));
+                }));
+    }
+
     /** Reads the row of a job. */
     public Mono<Either<Failure, Optional<JobRecord>>> read(String job) {
         return tables.read(jobKey(job))
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
@@ -56,6 +56,9 @@
     /** The jobs that are being taken over. */
     private final Set<String> takingOver = new HashSet<>();
 
+    /** Deletes jobs past their retention. */
+    private final JobRetention retention;
+
     /** The monotonic time of the start in nanoseconds. */
     private final long startedAt;
 
@@ -65,6 +68,7 @@
         this.liveness = liveness;
         this.current = current;
         startedAt = context.time().nanos();
+        retention = new JobRetention(context);
     }
 
     /**
@@ -122,6 +126,11 @@
             }
         }
         List.copyOf(runs.values()).forEach(JobRun::proceed);
+        retention.tick(
+                List.copyOf(jobs.values()),
+                job -> ranksFirst(job, now),
+                now,
+                context.time().wallMillis());
     }
 
     /** Gives all own jobs to the others. */
@@ -284,6 +293,11 @@
         if (liveness.runs(owner, now) || (!owner.isEmpty() && now - startedAt < SETTLE_NANOS)) {
             return false;
         }
+        return ranksFirst(record, now);
+    }
+
+    /** Returns whether this instance is the one of those that serve that looks after a job without an owner. */
+    private boolean ranksFirst(JobRecord record, long now) {
         return Rendezvous.first(
                         record.row().getId(),
                         liveness.serving(now),
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
@@ -25,6 +26,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagermoor.gateway.FleetState;
 import org.tanagermoor.gateway.GatewayEvent;
@@ -75,6 +77,12 @@
     /** The time after which items are given up, in milliseconds. */
     private static final long ABANDON_MILLIS = 60_000;
 
+    /** The time for which jobs can be read: longer than items run, or shorter. */
+    private static final List<Duration> RETENTIONS = List.of(Duration.ofSeconds(120), Duration.ofSeconds(5));
+
+    /** By how much a job may outlive its retention: clocks differ, and the store may have failed. */
+    private static final long SLACK_MILLIS = 20_000;
+
     /** The route of jobs. */
     private static final Route ROUTE = new Route(
             "batch",
@@ -96,7 +104,22 @@
     private final Map<EventType, List<String>> recorded = new HashMap<>();
 
     /** The store. */
-    private final JobStore store = JobStore.of(TableService.InMemory.of(), ObjectStore.InMemory.of());
+    private final JobStore store;
+
+    /** The tables of the store. */
+    private final TableService tables = TableService.InMemory.of();
+
+    /** The objects of the store. */
+    private final ObjectStore objects = ObjectStore.InMemory.of();
+
+    /** Whether the store fails to delete objects. */
+    private boolean failing;
+
+    /** The clock. */
+    private final TimeSource time = new Clock();
+
+    /** The log. */
+    private final EventLog log = new Log();
 
     /** The present time in nanoseconds. */
     private long now = TimeUnit.SECONDS.toNanos(100);
@@ -116,34 +139,43 @@
     /** The jobs. */
     private Jobs jobs;
 
+    /** Creates a test. */
+    JobsTest() {
+        store = JobStore.of(tables, new FailingObjects());
+    }
+
     /** Sets an instance up that is alone and long past its start. */
     @BeforeEach
     void start() {
-        Clock clock = new Clock();
-        Log log = new Log();
         PeerLink link = new NoPeers();
         liveness = Liveness.of(new Instance(InstanceId.of("i", 1), ADDRESS, ADDRESS, "lisbon", 0, 1));
         fleet = FleetState.of(new Codec(), log, () -> {});
         fleet.operatorChanged(List.of(new ChangeFeed.Change("config", 1, new byte[0])));
         TARGETS.forEach(id -> fleet.targetsChanged(List.of(new ChangeFeed.Change(id, 2, new byte[0])), now, now));
         TeamRates rates = TeamRates.of();
-        server = DispatchServer.of(channel.eventLoop(), link, liveness, clock, rates);
+        server = DispatchServer.of(channel.eventLoop(), link, liveness, time, rates);
         server.dispatcher().targets(fleet.usable(), service -> 0, now);
-        dispatch = DispatchClient.of(channel.eventLoop(), link, liveness, server, rates, log, clock);
+        dispatch = DispatchClient.of(channel.eventLoop(), link, liveness, server, rates, log, time);
+        play(RETENTIONS.get(0));
+        pass(5_000);
+    }
+
+    /** Lets the instance know no job, and keep jobs for a time. */
+    private void play(Duration retention) {
         JobContext context = new JobContext(
                 channel.eventLoop(),
                 fleet,
                 dispatch,
-                TargetConnections.of(channel.eventLoop(), new Protocol(), clock),
+                TargetConnections.of(channel.eventLoop(), new Protocol(), time),
                 store,
                 log,
                 GatewayMetrics.of(new MetricRegistry()),
-                clock,
+                time,
                 "lisbon",
                 new HashMap<>(),
-                ItemPace.of());
+                ItemPace.of(),
+                retention);
         jobs = Jobs.of(context, liveness, () -> true);
-        pass(5_000);
     }
 
     /** A job that is accepted by an instance that leaves belongs to nobody, so that another takes it over at once. */
@@ -185,6 +217,37 @@
         assertThat(store.read("j").block().get().get().row().getRecorded(), is(5));
     }
 
+    /** A job is kept for its retention and while it is open; then all that is kept of it is deleted, once. */
+    @ParameterizedTest
+    @CsvSource({"0, false", "0, true", "1, false"})
+    void deletesAJobPastItsRetention(int retention, boolean storeFails) {
+        play(RETENTIONS.get(retention));
+        server.dispatcher().targets(List.of(), service -> 0, now);
+        submit(200);
+        long readable = Math.max(RETENTIONS.get(retention).toMillis(), ABANDON_MILLIS);
+        pass(readable - 1_000);
+        assertThat(kept(), is(true));
+        failing = storeFails;
+        pass(SLACK_MILLIS);
+        assertThat(kept(), is(storeFails));
+        failing = false;
+        pass(SLACK_MILLIS);
+        assertThat(kept(), is(false));
+        assertThat(recorded.get(GatewayEvent.JOB_DELETED), contains("j"));
+        for (int partition = 0; partition < 8; partition++) {
+            for (String table : List.of("jobs", "results", "progress")) {
+                assertThat(
+                        tables.scan(table + "/" + partition, "", "", 1).block().get(), is(empty()));
+            }
+        }
+        assertThat(objects.list("", "", 1).block().get(), is(empty()));
+    }
+
+    /** Returns whether the store has the row of the job. */
+    private boolean kept() {
+        return store.read("j").block().get().isPresent();
+    }
+
     /** Submits a job with some items. */
     private void submit(int count) {
         CallHead head = new CallHead("j", "POST", "/batch/j", "/batch/j", "host", null, 0, 0, 0, List.of());
@@ -212,6 +275,37 @@
         }
     }
 
+    /** Objects that cannot be deleted for a while. */
+    private final class FailingObjects implements ObjectStore {
+
+        /** {@inheritDoc} */
+        @Override
+        public Mono<Either<Failure, Boolean>> put(String name, byte[] content) {
+            return objects.put(name, content);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public Mono<Either<Failure, Optional<byte[]>>> get(String name) {
+            return objects.get(name);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public Mono<Either<Failure, List<String>>> list(String prefix, String after, int limit) {
+            return objects.list(prefix, after, limit);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public Mono<Either<Failure, Boolean>> delete(String name) {
+            return failing
+                    ? Mono.just(Either.left(
+                            Failure.unknown(Failure.Kind.TIMEOUT, "store.delete", ADDRESS.toString(), "no answer")))
+                    : objects.delete(name);
+        }
+    }
+
     /** A clock that tells the time of the test. */
     private final class Clock implements TimeSource {
 
