--- a/tanagermoor-policy/src/test/java/org/tanagermoor/policy/batch/TeamSharesTest.java
+++ b/tanagermoor-policy/src/test/java/org/tanagermoor/policy/batch/TeamSharesTest.java
@@ -2,15 +2,18 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagermoor.policy.fleet.TeamId;
 
 class TeamSharesTest {
@@ -41,6 +44,49 @@
         assertThat(TeamShares.NONE.choose(jobs, 0).orElseThrow().job(), is(chosen));
     }
 
+    /**
+     * Load: jobs of 10 to 30 s of work, due 60 s after they come, which one worker does in chunks of 2 s; a third more
+     * of them than fit. Three of four of the jobs that fit end in time.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void endsMostJobsThatFitInTimeUnderOverload(long seed) {
+        Random random = new Random(seed);
+        List<TeamShares.Candidate> open = new ArrayList<>();
+        TeamShares shares = TeamShares.NONE;
+        int jobs = 150;
+        int arrived = 0;
+        int inTime = 0;
+        long arrival = 0;
+        long worked = 0;
+        for (long now = 0; now < jobs * 15_000L; now += 2_000) {
+            for (; arrived < jobs && arrival <= now; arrival += 15_000, arrived++) {
+                open.add(job("alder", 1, "job-" + arrived, arrival + 60_000, 10_000 + random.nextInt(11) * 2_000));
+            }
+            TeamShares.Candidate chosen = shares.choose(open, now).orElse(null);
+            if (chosen != null) {
+                open.remove(chosen);
+                worked += 2_000;
+                if (chosen.workMillis() > 2_000) {
+                    open.add(job("alder", 1, chosen.job(), chosen.dueMillis(), chosen.workMillis() - 2_000));
+                } else if (now + 2_000 <= chosen.dueMillis()) {
+                    inTime++;
+                }
+            }
+        }
+        long fits = worked / 20_000;
+        assertThat(inTime + " in time of " + fits + " that fit", 4L * inTime, greaterThan(3 * fits));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"-1, 50, 100, 20, second", "90, 100, 100, 20, second", "-1, 50, -1, 20, second", "-1, 20, -1, 20, first"
+    })
+    void choosesJobsThatCanEndInTimeFirst(long due, long work, long otherDue, long otherWork, String chosen) {
+        List<TeamShares.Candidate> jobs =
+                List.of(job("alder", 1, "first", due, work), job("alder", 1, "second", otherDue, otherWork));
+        assertThat(TeamShares.NONE.choose(jobs, 0).orElseThrow().job(), is(chosen));
+    }
+
     @Test
     void letsATeamThatWasIdleNotCatchUp() {
         TeamShares.Candidate busy = job("alder", 1, "a", 0, 0);
