Explain from log files what became of a request

Change: `tanagermoor explain ID FILE...` merges the logs of all processes in the order of the hybrid clock: the lines of a request, an item with its job, or a job, between what these processes noted of targets, instances and the store; then sentences on how it ended and what decided that. It calls no instance and needs no key. Lines of a collector before the object, bytes that are no text and lines that are no events are passed over.

--- a/tanagermoor-cli/src/main/java/org/tanagermoor/cli/Tool.java
+++ b/tanagermoor-cli/src/main/java/org/tanagermoor/cli/Tool.java
@@ -11,6 +11,7 @@
 import org.tanagermoor.cli.command.ApplyCommand;
 import org.tanagermoor.cli.command.CallerCommands;
 import org.tanagermoor.cli.command.DomainCommands;
+import org.tanagermoor.cli.command.ExplainCommand;
 import org.tanagermoor.cli.command.FleetCommands;
 import org.tanagermoor.cli.command.KeyCommands;
 import org.tanagermoor.cli.command.PresetCommands;
@@ -20,7 +21,7 @@
 import org.tanagermoor.cli.command.TargetCommands;
 import org.tanagermoor.cli.command.TeamCommands;
 import org.tanagermoor.cli.command.TimelineCommand;
-import org.tanagermoor.cli.command.ToolCommand;
+import org.tanagermoor.cli.command.ToolAction;
 
 /** The command-line tool {@code tanagermoor}. */
 public final class Tool {
@@ -49,7 +50,7 @@
         Cli<Object> cli = cli();
         try {
             Object command = cli.parse(arguments.toArray(String[]::new));
-            if (command instanceof ToolCommand known) {
+            if (command instanceof ToolAction known) {
                 return known.run(surroundings);
             }
             if (!arguments.isEmpty() && !arguments.contains("help")) {
@@ -100,6 +101,7 @@
                 .withCommand(StatusCommand.class)
                 .withCommand(StatusCommand.Instance.class)
                 .withCommand(TimelineCommand.class)
+                .withCommand(ExplainCommand.class)
                 .withCommand(ApplyCommand.class)
                 .withCommand(FleetCommands.Configuration.class)
                 .withCommand(FleetCommands.Change.class)
--- /dev/null
+++ b/tanagermoor-cli/src/main/java/org/tanagermoor/cli/command/ExplainCommand.java
@@ -0,0 +1,112 @@
+package org.tanagermoor.cli.command;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.OptionType;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.tanagermoor.cli.ExitCode;
+import org.tanagermoor.cli.explain.Conclusion;
+import org.tanagermoor.cli.explain.LogLine;
+import org.tanagermoor.cli.explain.RequestLog;
+import org.tanagermoor.http.Json;
+
+/** Explains from the logs of all processes what became of a request, an item or a job. It calls no instance. */
+@Command(name = "explain", description = "Explains from log files what became of a request, an item or a job")
+public final class ExplainCommand implements ToolAction {
+
+    /** The identity of the request, then the files. */
+    @Required
+    @Arguments(
+            title = {"request id", "log files"},
+            description = "The identity of a request, an item or a job, and the logs of all processes")
+    List<String> arguments = new ArrayList<>();
+
+    /** Whether to print JSON. */
+    @Option(type = OptionType.GLOBAL, name = "--json", description = "Prints JSON instead of text")
+    boolean json;
+
+    /** {@inheritDoc} */
+    @Override
+    public ExitCode run(Surroundings surroundings) {
+        if (arguments.size() < 2) {
+            surroundings.err().println("tanagermoor: name a request and the log files: explain ID FILE...");
+            return ExitCode.USAGE;
+        }
+        List<LogLine> lines = new ArrayList<>();
+        for (String file : arguments.subList(1, arguments.size())) {
+            try {
+                read(Path.of(file), lines);
+            } catch (IOException exception) {
+                surroundings.err().println("tanagermoor: cannot read " + file + ": " + exception);
+                return ExitCode.USAGE;
+            }
+        }
+        RequestLog log = RequestLog.of(arguments.get(0), lines);
+        if (log.lines().isEmpty()) {
+            surroundings.err().println("tanagermoor: no line of " + lines.size() + " is about " + log.id());
+            return ExitCode.REFUSED;
+        }
+        if (json) {
+            printJson(log, surroundings.out());
+        } else {
+            print(log, surroundings.out());
+        }
+        return ExitCode.DONE;
+    }
+
+    /** Reads the events of a log; bytes that are no text are passed over with their line. */
+    private static void read(Path file, List<LogLine> lines) throws IOException {
+        try (BufferedReader reader =
+                new BufferedReader(new InputStreamReader(Files.newInputStream(file), StandardCharsets.UTF_8))) {
+            for (String text = reader.readLine(); text != null; text = reader.readLine()) {
+                LogLine.of(text).ifPresent(lines::add);
+            }
+        }
+    }
+
+    /** Prints the time line and the conclusion. */
+    private static void print(RequestLog log, PrintStream out) {
+        long first = log.lines().get(0).millis();
+        Set<LogLine> beside = new HashSet<>(log.beside());
+        Stream.concat(log.lines().stream(), log.beside().stream())
+                .distinct()
+                .sorted(LogLine.ORDER)
+                .forEach(line -> out.printf(
+                        "%s%+8d ms  %s  %s  %s%n",
+                        beside.contains(line) ? "  " : "* ",
+                        line.millis() - first,
+                        line.process(),
+                        line.event(),
+                        line.details()));
+        out.println();
+        Conclusion.of(log).forEach(out::println);
+    }
+
+    /** Prints both as JSON. */
+    private static void printJson(RequestLog log, PrintStream out) {
+        ObjectNode document = Json.mapper().createObjectNode();
+        document.put("id", log.id());
+        ArrayNode conclusion = document.putArray("conclusion");
+        Conclusion.of(log).forEach(conclusion::add);
+        ArrayNode lines = document.putArray("lines");
+        log.lines().forEach(line -> lines.add(line.fields()));
+        ArrayNode beside = document.putArray("beside");
+        log.beside().forEach(line -> beside.add(line.fields()));
+        out.println(document);
+    }
+}
--- /dev/null
+++ b/tanagermoor-cli/src/main/java/org/tanagermoor/cli/command/ToolAction.java
@@ -0,0 +1,15 @@
+package org.tanagermoor.cli.command;
+
+import org.tanagermoor.cli.ExitCode;
+
+/** What the tool can do. */
+public interface ToolAction {
+
+    /**
+     * Runs the command.
+     *
+     * @param surroundings The environment and the streams.
+     * @return How it ended.
+     */
+    ExitCode run(Surroundings surroundings);
+}
--- a/tanagermoor-cli/src/main/java/org/tanagermoor/cli/command/ToolCommand.java
+++ b/tanagermoor-cli/src/main/java/org/tanagermoor/cli/command/ToolCommand.java
@@ -18,8 +18,8 @@
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.kernel.setting.Address;
 
-/** A command of the tool. */
-public abstract class ToolCommand {
+/** A command that calls instances. */
+public abstract class ToolCommand implements ToolAction {
 
     /** The environment variable that names the instances. */
     public static final String INSTANCES_VARIABLE = "TANAGERMOOR_INSTANCES";
@@ -51,12 +51,8 @@
             description = "The longest time to wait for an answer, in milliseconds (default 30000)")
     protected long timeoutMillis = 30_000;
 
-    /**
-     * Runs the command.
-     *
-     * @param surroundings The environment and the streams.
-     * @return How it ended.
-     */
+    /** {@inheritDoc} */
+    @Override
     public ExitCode run(Surroundings surroundings) {
         List<String> problems = new ArrayList<>(problems());
         List<Address> addresses = addresses(surroundings.environment(), problems);
--- /dev/null
+++ b/tanagermoor-cli/src/main/java/org/tanagermoor/cli/explain/Conclusion.java
@@ -0,0 +1,125 @@
+package org.tanagermoor.cli.explain;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+/** Says in sentences how a request, an item or a job ended, and what decided it. */
+public final class Conclusion {
+
+    /** There are no instances. */
+    private Conclusion() {}
+
+    /**
+     * Returns what became of a request, an item or a job.
+     *
+     * @param log What the logs say.
+     * @return Sentences, the most important first.
+     */
+    public static List<String> of(RequestLog log) {
+        List<String> result = new ArrayList<>();
+        boolean item = log.lines().stream()
+                .anyMatch(line -> line.field("request").equals(log.id())
+                        && !line.field("job").isEmpty());
+        if (item) {
+            ofItem(log, result);
+        } else if (!log.of("JOB_ACCEPTED").isEmpty() || !log.of("JOB_REFUSED").isEmpty()) {
+            ofJob(log, result);
+        } else {
+            ofRequest(log, result);
+        }
+        return List.copyOf(result);
+    }
+
+    /** Adds what became of an online request. */
+    private static void ofRequest(RequestLog log, List<String> result) {
+        LogLine last = log.lines().get(log.lines().size() - 1);
+        switch (last.event()) {
+            case "REQUEST_REFUSED" ->
+                result.add("Refused as " + last.field("kind") + " after " + last.field("waited-ms") + " ms: "
+                        + refusal(last.field("detail")) + ".");
+            case "REQUEST_ANSWERED" ->
+                result.add("Answered by " + last.field("target") + " after " + last.field("took-ms") + " ms, attempt "
+                        + last.field("attempts") + ".");
+            case "CALLER_LEFT" ->
+                result.add("The caller left before the answer was whole; the request was "
+                        + ("true".equals(last.field("sent")) ? "at " + last.field("target") : "not sent") + ".");
+            case "EXCHANGE_FAILED" ->
+                result.add("Broke off at " + last.field("target") + ": " + last.field("detail")
+                        + (mayHaveRun(last) ? "; it may have run there." : "; it did not run there."));
+            default -> result.add("No end is logged: the process ended, its log is missing, or lines were dropped.");
+        }
+        log.of("EXCHANGE_FAILED").stream()
+                .filter(line -> !line.equals(last))
+                .forEach(line -> result.add("Before that it failed at " + line.field("target") + ": "
+                        + line.field("detail") + (mayHaveRun(line) ? " (may have run)." : " (did not run).")));
+        log.of("REQUEST_PLACED").stream()
+                .findFirst()
+                .ifPresent(line -> result.add("It waited " + line.field("waited-ms") + " ms for a place."));
+    }
+
+    /** Adds what became of an item of a job. */
+    private static void ofItem(RequestLog log, List<String> result) {
+        log.of("ITEM_ABANDONED").forEach(line -> result.add("Given up: " + line.field("reason") + "."));
+        List<LogLine> ends = log.of("ITEM_ENDED");
+        if (ends.isEmpty()) {
+            result.add("It has no result in these logs.");
+        }
+        for (LogLine end : ends) {
+            long due = end.fields().path("due-in-ms").asLong();
+            result.add(("true".equals(end.field("completed")) ? "Completed " : "Ended without a result ")
+                    + Math.abs(due) + " ms " + (due < 0 ? "late" : "before it was due")
+                    + ". At its last owner it waited "
+                    + end.field("waited-ms") + " ms for places, ran " + end.field("ran-ms")
+                    + " ms, and nobody asked for it for " + end.field("idle-ms") + " ms.");
+        }
+        Map<String, Long> cuts = log.of("ITEM_RUN_ENDED").stream()
+                .collect(Collectors.groupingBy(line -> line.field("end"), TreeMap::new, Collectors.counting()));
+        if (!cuts.isEmpty()) {
+            result.add("Its runs ended as " + cuts + ".");
+        }
+        owners(log, result);
+    }
+
+    /** Adds what became of a job. */
+    private static void ofJob(RequestLog log, List<String> result) {
+        log.of("JOB_REFUSED")
+                .forEach(line -> result.add("Refused as " + line.field("kind") + ": " + line.field("detail") + "."));
+        if (!log.of("JOB_DELETED").isEmpty()) {
+            result.add("Deleted after its retention.");
+        }
+        log.of("RESULTS_RECORDED").stream()
+                .reduce((former, latter) -> latter)
+                .ifPresent(line ->
+                        result.add(line.field("recorded") + " of " + line.field("total") + " results are recorded."));
+        owners(log, result);
+    }
+
+    /** Adds who owned a job, and which writes of it failed. */
+    private static void owners(RequestLog log, List<String> result) {
+        log.of("JOB_TAKEN_OVER")
+                .forEach(line -> result.add(line.process() + " took its job over"
+                        + (line.field("from").isEmpty() ? "." : " from " + line.field("from") + ".")));
+        int failed = log.of("JOB_WRITE_FAILED").size();
+        if (failed > 0) {
+            result.add(failed + " writes of its job failed and were repeated.");
+        }
+    }
+
+    /** Returns whether a target may have run a request. */
+    private static boolean mayHaveRun(LogLine line) {
+        return "true".equals(line.field("may-have-run"));
+    }
+
+    /** Returns the cause of a refusal in words. */
+    private static String refusal(String detail) {
+        return switch (detail) {
+            case "RATE_LIMITED" -> "the team is above its rate, over all instances";
+            case "OVERLOADED" -> "the queue was longer than the request could wait";
+            case "NO_TARGET" -> "no target of the service is usable";
+            default -> detail;
+        };
+    }
+}
--- /dev/null
+++ b/tanagermoor-cli/src/main/java/org/tanagermoor/cli/explain/LogLine.java
@@ -0,0 +1,89 @@
+package org.tanagermoor.cli.explain;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Comparator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.tanagermoor.http.Json;
+
+/**
+ * A line of the log of a process.
+ *
+ * @param millis The hybrid logical time in milliseconds since the epoch.
+ * @param order The order among lines of one millisecond.
+ * @param process The process.
+ * @param event The name of the event.
+ * @param fields The line as it was written.
+ */
+public record LogLine(long millis, long order, String process, String event, JsonNode fields) {
+
+    /** The order of cause and effect, over all processes. */
+    public static final Comparator<LogLine> ORDER = Comparator.comparingLong(LogLine::millis)
+            .thenComparingLong(LogLine::order)
+            .thenComparing(LogLine::process);
+
+    /** The fields that each line has. */
+    private static final Set<String> COMMON = Set.of("time", "order", "level", "process", "event", "code");
+
+    /**
+     * Reads a line. What precedes the object, such as the time and the name of a log collector, is passed over.
+     *
+     * @param text The line.
+     * @return The line, or empty if there is no event of a process in it.
+     */
+    public static Optional<LogLine> of(String text) {
+        int begin = text.indexOf('{');
+        if (begin < 0) {
+            return Optional.empty();
+        }
+        try {
+            JsonNode fields = Json.mapper().readTree(text.substring(begin));
+            return fields.path("event").isTextual() && fields.path("time").isNumber()
+                    ? Optional.of(new LogLine(
+                            fields.path("time").asLong(),
+                            fields.path("order").asLong(),
+                            fields.path("process").asText(),
+                            fields.path("event").asText(),
+                            fields))
+                    : Optional.empty();
+        } catch (JsonProcessingException exception) {
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Returns a field.
+     *
+     * @param name The name of the field.
+     * @return Its value; empty if the line does not have it.
+     */
+    public String field(String name) {
+        return fields.path(name).asText();
+    }
+
+    /**
+     * Returns the fields that are particular to the event.
+     *
+     * @return The fields as name=value, with a space between them.
+     */
+    public String details() {
+        return fields.properties().stream()
+                .filter(field -> !COMMON.contains(field.getKey()))
+                .map(LogLine::detail)
+                .collect(Collectors.joining(" "));
+    }
+
+    /**
+     * Returns a field as name=value.
+     *
+     * @param field The field.
+     * @return The text, with quotation marks around a value with spaces.
+     */
+    private static String detail(Map.Entry<String, JsonNode> field) {
+        String value = field.getValue().asText();
+        return field.getKey() + "=" + (value.indexOf(' ') < 0 ? value : '"' + value + '"');
+    }
+}
--- /dev/null
+++ b/tanagermoor-cli/src/main/java/org/tanagermoor/cli/explain/RequestLog.java
@@ -0,0 +1,92 @@
+package org.tanagermoor.cli.explain;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * What the logs of all processes say of one request, item or job.
+ *
+ * @param id The identity.
+ * @param lines The lines about it and, for an item, about its job, in the order of cause and effect.
+ * @param beside What else the processes that had to do with it noted meanwhile, in the same order.
+ */
+public record RequestLog(String id, List<LogLine> lines, List<LogLine> beside) {
+
+    /** How long before the first line about the request the other lines begin, in milliseconds. */
+    private static final long BEFORE_MILLIS = 2_000;
+
+    /** The fields that tell which request, item or job a line is about. */
+    private static final List<String> SUBJECTS = List.of("request", "job");
+
+    /** The events that change what a process believes of targets, other instances, the store or the configuration. */
+    private static final Set<String> BELIEFS = Set.of(
+            "CONFIGURATION_ADOPTED",
+            "DISPATCHER_CHANGED",
+            "DISPATCHER_SILENT",
+            "DOMAIN_CHANGED",
+            "HISTORY_LOST",
+            "LEAVING",
+            "LINES_DROPPED",
+            "MEMBER_CHANGED",
+            "READY",
+            "STOPPED",
+            "STORE_LOST",
+            "STORE_REGAINED",
+            "TABLE_RELAYED",
+            "TARGET_CHANGED");
+
+    /**
+     * Selects what is about a request, an item or a job.
+     *
+     * @param id The identity.
+     * @param all The lines of all processes.
+     * @return What the logs say; without lines if nothing is about it.
+     */
+    public static RequestLog of(String id, Collection<LogLine> all) {
+        List<LogLine> own = all.stream().filter(line -> about(line, id)).toList();
+        Set<String> jobs = own.stream()
+                .filter(line -> line.field("request").equals(id))
+                .map(line -> line.field("job"))
+                .filter(job -> !job.isEmpty())
+                .collect(Collectors.toSet());
+        List<LogLine> lines = all.stream()
+                .filter(line -> about(line, id) || jobs.stream().anyMatch(job -> ofJob(line, job)))
+                .sorted(LogLine.ORDER)
+                .toList();
+        if (lines.isEmpty()) {
+            return new RequestLog(id, lines, List.of());
+        }
+        Set<String> processes = own.stream().map(LogLine::process).collect(Collectors.toSet());
+        long first = lines.get(0).millis() - BEFORE_MILLIS;
+        long last = lines.get(lines.size() - 1).millis();
+        List<LogLine> beside = all.stream()
+                .filter(line -> processes.contains(line.process()) && BELIEFS.contains(line.event()))
+                .filter(line -> line.millis() >= first && line.millis() <= last)
+                .sorted(LogLine.ORDER)
+                .toList();
+        return new RequestLog(id, lines, beside);
+    }
+
+    /** Returns whether a line is about a request, item or job. */
+    private static boolean about(LogLine line, String id) {
+        return SUBJECTS.stream().anyMatch(subject -> line.field(subject).equals(id));
+    }
+
+    /** Returns whether a line is about a job and not about one of its items. */
+    private static boolean ofJob(LogLine line, String job) {
+        String request = line.field("request");
+        return request.equals(job) || (line.field("job").equals(job) && request.isEmpty());
+    }
+
+    /**
+     * Returns the lines of an event.
+     *
+     * @param event The name of the event.
+     * @return The lines about the request, item or job itself.
+     */
+    public List<LogLine> of(String event) {
+        return lines.stream().filter(line -> line.event().equals(event)).toList();
+    }
+}
