Say how many lines the processes left out of the logs that are explained

Lines that a process left out have no time, so explain never showed them. Logs reads files now and counts them; an event is read from the object that it found.

--- a/tanagermoor-cli/src/main/java/org/tanagermoor/cli/command/ExplainCommand.java
+++ b/tanagermoor-cli/src/main/java/org/tanagermoor/cli/command/ExplainCommand.java
@@ -7,12 +7,8 @@
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.OptionType;
 import com.github.rvesse.airline.annotations.restrictions.Required;
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -22,6 +18,7 @@
 import org.tanagermoor.cli.ExitCode;
 import org.tanagermoor.cli.explain.Conclusion;
 import org.tanagermoor.cli.explain.LogLine;
+import org.tanagermoor.cli.explain.Logs;
 import org.tanagermoor.cli.explain.RequestLog;
 import org.tanagermoor.http.Json;
 
@@ -47,20 +44,26 @@
             surroundings.err().println("tanagermoor: name a request and the log files: explain ID FILE...");
             return ExitCode.USAGE;
         }
-        List<LogLine> lines = new ArrayList<>();
+        Logs logs = Logs.NONE;
         for (String file : arguments.subList(1, arguments.size())) {
             try {
-                read(Path.of(file), lines);
+                logs = logs.with(Path.of(file));
             } catch (IOException exception) {
                 surroundings.err().println("tanagermoor: cannot read " + file + ": " + exception);
                 return ExitCode.USAGE;
             }
         }
-        RequestLog log = RequestLog.of(arguments.get(0), lines);
+        RequestLog log = RequestLog.of(arguments.get(0), logs.lines());
         if (log.lines().isEmpty()) {
-            surroundings.err().println("tanagermoor: no line of " + lines.size() + " is about " + log.id());
+            surroundings.err().println("tanagermoor: no line of " + logs.lines().size() + " is about " + log.id());
             return ExitCode.REFUSED;
         }
+        if (logs.dropped() > 0) {
+            surroundings
+                    .err()
+                    .println("tanagermoor: the processes left out " + logs.dropped()
+                            + " lines; what is missing may be among them");
+        }
         if (json) {
             printJson(log, surroundings.out());
         } else {
@@ -69,16 +72,6 @@
         return ExitCode.DONE;
     }
 
-    /** Reads the events of a log; bytes that are no text are passed over with their line. */
-    private static void read(Path file, List<LogLine> lines) throws IOException {
-        try (BufferedReader reader =
-                new BufferedReader(new InputStreamReader(Files.newInputStream(file), StandardCharsets.UTF_8))) {
-            for (String text = reader.readLine(); text != null; text = reader.readLine()) {
-                LogLine.of(text).ifPresent(lines::add);
-            }
-        }
-    }
-
     /** Prints the time line and the conclusion. */
     private static void print(RequestLog log, PrintStream out) {
         long first = log.lines().get(0).millis();
--- a/tanagermoor-cli/src/main/java/org/tanagermoor/cli/explain/Conclusion.java
+++ b/tanagermoor-cli/src/main/java/org/tanagermoor/cli/explain/Conclusion.java
@@ -49,7 +49,7 @@
             case "EXCHANGE_FAILED" ->
                 result.add("Broke off at " + last.field("target") + ": " + last.field("detail")
                         + (mayHaveRun(last) ? "; it may have run there." : "; it did not run there."));
-            default -> result.add("No end is logged: the process ended, its log is missing, or lines were dropped.");
+            default -> result.add("No end is logged: the process ended, its log is missing, or the line was dropped.");
         }
         log.of("EXCHANGE_FAILED").stream()
                 .filter(line -> !line.equals(last))
@@ -104,7 +104,7 @@
                         + (line.field("from").isEmpty() ? "." : " from " + line.field("from") + ".")));
         int failed = log.of("JOB_WRITE_FAILED").size();
         if (failed > 0) {
-            result.add(failed + " writes of its job failed and were repeated.");
+            result.add("Writes of its job that failed: " + failed + ".");
         }
     }
 
--- a/tanagermoor-cli/src/main/java/org/tanagermoor/cli/explain/LogLine.java
+++ b/tanagermoor-cli/src/main/java/org/tanagermoor/cli/explain/LogLine.java
@@ -1,13 +1,11 @@
 package org.tanagermoor.cli.explain;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
-import org.tanagermoor.http.Json;
 
 /**
  * A line of the log of a process.
@@ -29,29 +27,20 @@
     private static final Set<String> COMMON = Set.of("time", "order", "level", "process", "event", "code");
 
     /**
-     * Reads a line. What precedes the object, such as the time and the name of a log collector, is passed over.
+     * Returns the event that a line holds.
      *
-     * @param text The line.
-     * @return The line, or empty if there is no event of a process in it.
+     * @param fields The line.
+     * @return The event, or empty if it is none.
      */
-    public static Optional<LogLine> of(String text) {
-        int begin = text.indexOf('{');
-        if (begin < 0) {
-            return Optional.empty();
-        }
-        try {
-            JsonNode fields = Json.mapper().readTree(text.substring(begin));
-            return fields.path("event").isTextual() && fields.path("time").isNumber()
-                    ? Optional.of(new LogLine(
-                            fields.path("time").asLong(),
-                            fields.path("order").asLong(),
-                            fields.path("process").asText(),
-                            fields.path("event").asText(),
-                            fields))
-                    : Optional.empty();
-        } catch (JsonProcessingException exception) {
-            return Optional.empty();
-        }
+    static Optional<LogLine> of(JsonNode fields) {
+        return fields.path("event").isTextual() && fields.path("time").isNumber()
+                ? Optional.of(new LogLine(
+                        fields.path("time").asLong(),
+                        fields.path("order").asLong(),
+                        fields.path("process").asText(),
+                        fields.path("event").asText(),
+                        fields))
+                : Optional.empty();
     }
 
     /**
--- a/tanagermoor-cli/src/main/java/org/tanagermoor/cli/explain/RequestLog.java
+++ b/tanagermoor-cli/src/main/java/org/tanagermoor/cli/explain/RequestLog.java
@@ -28,7 +28,6 @@
             "DOMAIN_CHANGED",
             "HISTORY_LOST",
             "LEAVING",
-            "LINES_DROPPED",
             "MEMBER_CHANGED",
             "READY",
             "STOPPED",
