Delete nothing of a job that was submitted anew

What callers could have lost: the items of an accepted job, if its identity was that of a job past its retention and an instance that had not heard of the deletion deleted it once more.

Cause: the object with the items was deleted before the first write that depends on the version of the row. Change: the row is written anew first, on the condition of its version; then the object, the other rows and the row go.

JobsTest.leavesAJobAloneThatWasSubmittedAnew failed first. The instance in JobsTest now hears of the row of its job as through the feed of the store, which the repeated deletion needs.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobStore.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobStore.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import org.apache.commons.codec.digest.MurmurHash3;
 import org.jspecify.annotations.Nullable;
 import org.tanagermoor.gateway.proto.ItemProgress;
@@ -137,17 +138,34 @@
     }
 
     /**
-     * Deletes all that is kept of a job. Its row goes last, so that a deletion that ended early can be repeated.
+     * Deletes all that is kept of a job. Its row is written anew first, so that who knows an earlier state deletes
+     * nothing, and goes last, so that a deletion that ended early can be repeated.
      *
      * @param job The job as it is known.
      * @return The job that was deleted, or a failure, also if its row has changed.
      */
     public Mono<Either<Failure, JobRecord>> delete(JobRecord job) {
         String id = job.row().getId();
-        return objects.delete(objectName(id))
-                .flatMap(deleted -> deleted.isLeft()
-                        ? Mono.just(Either.left(deleted.getLeft()))
-                        : deleteRows(job, List.of(table(RESULTS, id), table(PROGRESS, id))));
+        RowKey key = jobKey(id);
+        byte[] value = job.row().toBuilder().setEnded(true).build().toByteArray();
+        Transaction fence = Transaction.EMPTY.withCondition(key, job.version()).withPut(key, value);
+        return commitDeletion(fence)
+                .flatMap(fenced -> then(
+                        fenced,
+                        done -> objects.delete(objectName(id))
+                                .flatMap(deleted -> then(
+                                        deleted,
+                                        gone -> deleteRows(
+                                                new JobRecord(
+                                                        job.row(),
+                                                        done.versions().getOrDefault(key, 0L)),
+                                                List.of(table(RESULTS, id), table(PROGRESS, id)))))));
+    }
+
+    /** Goes on after a step that succeeded. */
+    private static <T, R> Mono<Either<Failure, R>> then(
+            Either<Failure, T> step, Function<T, Mono<Either<Failure, R>>> next) {
+        return step.isLeft() ? Mono.just(Either.left(step.getLeft())) : next.apply(step.get());
     }
 
     /** Deletes the rows of a job in tables, then its own row. */
@@ -156,16 +174,12 @@
             return delete(job, List.of(jobKey(job.row().getId())));
         }
         return tables.scan(from.get(0), job.row().getId() + "/", "", DELETE_MOST)
-                .flatMap(rows -> {
-                    if (rows.isLeft()) {
-                        return Mono.just(Either.left(rows.getLeft()));
-                    }
-                    if (rows.get().isEmpty()) {
-                        return deleteRows(job, from.subList(1, from.size()));
-                    }
-                    return delete(job, rows.get().stream().map(Row::key).toList())
-                            .flatMap(deleted -> deleted.isLeft() ? Mono.just(deleted) : deleteRows(job, from));
-                });
+                .flatMap(found -> then(
+                        found,
+                        rows -> rows.isEmpty()
+                                ? deleteRows(job, from.subList(1, from.size()))
+                                : delete(job, rows.stream().map(Row::key).toList())
+                                        .flatMap(deleted -> then(deleted, gone -> deleteRows(job, from)))));
     }
 
     /** Deletes rows, unless the row of the job has changed. */
@@ -175,9 +189,14 @@
         for (RowKey row : rows) {
             transaction = transaction.withDelete(row);
         }
+        return commitDeletion(transaction).map(result -> result.map(done -> job));
+    }
+
+    /** Commits a step of a deletion, which fails if the row of the job has changed. */
+    private Mono<Either<Failure, CommitResult.Committed>> commitDeletion(Transaction transaction) {
         return tables.commit(transaction)
                 .map(result -> result.flatMap(committed -> switch (committed) {
-                    case CommitResult.Committed done -> Either.right(job);
+                    case CommitResult.Committed done -> Either.right(done);
                     case CommitResult.Conflict conflict ->
                         Either.left(Failure.notRun(
                                 Failure.Kind.CONFLICT, "job.delete", Failure.LOCAL, "the row has changed"));
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -49,6 +49,7 @@
 import org.tanagermoor.gateway.forward.TargetProtocol;
 import org.tanagermoor.gateway.member.Instance;
 import org.tanagermoor.gateway.member.Liveness;
+import org.tanagermoor.gateway.proto.JobContent;
 import org.tanagermoor.gateway.proto.JobItem;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.event.EventRecord;
@@ -243,6 +244,21 @@
         assertThat(objects.list("", "", 1).block().get(), is(empty()));
     }
 
+    /** An instance that has not heard that a job was deleted and submitted anew leaves the new one alone. */
+    @Test
+    void leavesAJobAloneThatWasSubmittedAnew() {
+        submit(1);
+        JobRecord former = store.read("j").block().get().get();
+        assertThat(store.delete(former).block().isRight(), is(true));
+        JobContent content = JobContent.newBuilder()
+                .addItems(JobItem.newBuilder().setId("new"))
+                .build();
+        assertThat(store.accept(former.row(), content).block().isRight(), is(true));
+        assertThat(store.delete(former).block().isLeft(), is(true));
+        assertThat(store.content("j").block().get(), is(content));
+        assertThat(kept(), is(true));
+    }
+
     /** Returns whether the store has the row of the job. */
     private boolean kept() {
         return store.read("j").block().get().isPresent();
@@ -269,6 +285,7 @@
             if (passed % 250 == 0) {
                 dispatch.tick(now);
                 server.tick(now);
+                follow();
                 jobs.tick(now);
             }
             channel.runPendingTasks();
@@ -306,6 +323,17 @@
         }
     }
 
+    /** Lets the instance know the row of the job as it is in the store. */
+    private void follow() {
+        byte[] value = store.read("j")
+                .block()
+                .get()
+                .map(record -> record.row().toByteArray())
+                .orElse(null);
+        long version = store.read("j").block().get().map(JobRecord::version).orElse(0L);
+        jobs.changed(List.of(new ChangeFeed.Change("j", version, value)));
+    }
+
     /** A clock that tells the time of the test. */
     private final class Clock implements TimeSource {
 
