Log the parts of a prompt, and how many events a broken run had received

Cause: the logs of the incident could not tell whether crashes share a part of the prompt, whether repeated requests cause them, or whether returning targets crash for their load.

Change: callers' requests and items of jobs carry the parts of their prompts, decoded at the boundary; REQUEST_PLACED, EXCHANGE_FAILED and ITEM_RUN_ENDED name the shared ones, EXCHANGE_FAILED also the events of the run. The lines of an online request moved from OnlineCall to OnlineLog. No decision changes.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
-import org.tanagermoor.gateway.GatewayEvent;
 import org.tanagermoor.gateway.dispatch.Ask;
 import org.tanagermoor.gateway.dispatch.PlaceOutcome;
 import org.tanagermoor.gateway.dispatch.PlacementDecision;
@@ -64,6 +63,8 @@
 
     private final Responder responder;
 
+    private final OnlineLog log;
+
     /** The monotonic time of the arrival in nanoseconds. */
     private final long arrivedAt;
 
@@ -105,6 +106,9 @@
     /** The number of the last event that was sent to the caller. */
     private long lastEvent;
 
+    /** The number of the last event before the current run. */
+    private long startEvent;
+
     /** The next check for a silent target; {@code null} while no check is scheduled. */
     @Nullable
     private ScheduledFuture<?> silenceCheck;
@@ -131,6 +135,7 @@
         this.responder = responder;
         lastEvent = head.lastEvent();
         arrivedAt = context.time().nanos();
+        log = new OnlineLog(context, head, team, route.name(), arrivedAt);
         long millis = head.deadlineMillis() > 0
                 ? Math.min(head.deadlineMillis(), route.timeoutMillis())
                 : route.timeoutMillis();
@@ -176,16 +181,7 @@
     @Override
     public void left() {
         if (!ended) {
-            context.events()
-                    .record(
-                            GatewayEvent.CALLER_LEFT,
-                            "request",
-                            head.id(),
-                            "target",
-                            targetId(),
-                            "sent",
-                            exchange != null);
-            context.metrics().callerLeft();
+            log.callerLeft(targetId(), exchange != null);
             finish(exchange == null ? PlaceOutcome.UNUSED : PlaceOutcome.SERVED);
         }
     }
@@ -228,18 +224,9 @@
             return;
         }
         target = entry;
+        startEvent = lastEvent;
         attempts++;
-        context.events()
-                .record(
-                        GatewayEvent.REQUEST_PLACED,
-                        "request",
-                        head.id(),
-                        "target",
-                        id,
-                        "waited-ms",
-                        TimeUnit.NANOSECONDS.toMillis(now - arrivedAt),
-                        "left-ms",
-                        left);
+        log.placed(id, left, now);
         receivedAt = now;
         scheduleSilenceCheck(SILENCE_TIMEOUT_MILLIS);
         exchange = context.connections()
@@ -299,7 +286,7 @@
             frames = answer.events() ? EventFrames.of() : null;
             if (!headSent) {
                 headSent = true;
-                context.metrics().answerStarted(context.time().nanos() - arrivedAt);
+                log.answerStarted(context.time().nanos());
                 responder.head(context.protocol().head(response));
             }
         }
@@ -330,18 +317,7 @@
         }
         exchange = null;
         finish(PlaceOutcome.SERVED);
-        context.metrics().answerCompleted(context.time().nanos() - arrivedAt);
-        context.events()
-                .record(
-                        GatewayEvent.REQUEST_ANSWERED,
-                        "request",
-                        head.id(),
-                        "target",
-                        targetId(),
-                        "took-ms",
-                        TimeUnit.NANOSECONDS.toMillis(context.time().nanos() - arrivedAt),
-                        "attempts",
-                        attempts);
+        log.answered(targetId(), attempts, context.time().nanos());
         responder.end();
     }
 
@@ -434,24 +410,7 @@
         boolean promisesNotRun =
                 refusal.kind() == Refusal.Kind.UNAVAILABLE || refusal.kind() == Refusal.Kind.RATE_LIMITED;
         Refusal reported = promisesNotRun && attempts > 0 ? Refusal.of(Refusal.Kind.BROKEN, refusal.detail()) : refusal;
-        context.events()
-                .record(
-                        GatewayEvent.REQUEST_REFUSED,
-                        "request",
-                        head.id(),
-                        "team",
-                        team,
-                        "route",
-                        route.name(),
-                        "kind",
-                        reported.kind(),
-                        "detail",
-                        reported.detail(),
-                        "retry-after-ms",
-                        reported.retryAfterMillis(),
-                        "waited-ms",
-                        TimeUnit.NANOSECONDS.toMillis(context.time().nanos() - arrivedAt));
-        context.metrics().refused(reported.kind());
+        log.refused(reported, context.time().nanos());
         boolean streaming = headSent;
         finish(exchange == null ? PlaceOutcome.UNUSED : PlaceOutcome.FAILED);
         if (streaming) {
@@ -491,22 +450,7 @@
     }
 
     private void recordFailure(String detail, boolean mayHaveRun) {
-        context.events()
-                .record(
-                        GatewayEvent.EXCHANGE_FAILED,
-                        "request",
-                        head.id(),
-                        "target",
-                        targetId(),
-                        "detail",
-                        detail,
-                        "may-have-run",
-                        mayHaveRun,
-                        "last-event",
-                        lastEvent,
-                        "attempts",
-                        attempts);
-        context.metrics().exchangeFailed();
+        log.exchangeFailed(targetId(), detail, mayHaveRun, lastEvent - startEvent, lastEvent, attempts);
     }
 
     /** Returns the identity of the current or last target; empty if there is none. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemLog.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemLog.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.tanagermoor.gateway.GatewayEvent;
+import org.tanagermoor.policy.prompt.Prompt;
 
 /**
  * Logs and measures the runs of an item on the instance that owns its job: how long the item waited for places, ran,
@@ -19,6 +20,8 @@
     /** Identity of the item, logged as the request. */
     private final String item;
 
+    private final Prompt prompt;
+
     /** Time spent in the phases that have ended, in nanoseconds. */
     private final Map<Phase, Long> elapsed = new EnumMap<>(Phase.class);
 
@@ -34,10 +37,11 @@
     private int runs;
 
     /** Creates a log for an idle item, whose first phase starts at the given monotonic time in nanoseconds. */
-    ItemLog(JobContext context, JobRun job, String item, long now) {
+    ItemLog(JobContext context, JobRun job, String item, Prompt prompt, long now) {
         this.context = context;
         this.job = job;
         this.item = item;
+        this.prompt = prompt;
         phaseStartedAt = now;
     }
 
@@ -71,6 +75,8 @@
                         job.id(),
                         "target",
                         target,
+                        "parts",
+                        String.join(",", prompt.shared()),
                         "last-event",
                         lastEvent,
                         "waited-ms",
@@ -111,6 +117,8 @@
                         end,
                         "detail",
                         detail,
+                        "parts",
+                        String.join(",", prompt.shared()),
                         "ran-ms",
                         TimeUnit.NANOSECONDS.toMillis(now - phaseStartedAt),
                         "begun-after",
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -23,11 +23,13 @@
 import org.tanagermoor.gateway.forward.TargetHead;
 import org.tanagermoor.gateway.forward.TargetListener;
 import org.tanagermoor.gateway.forward.TargetRequest;
+import org.tanagermoor.gateway.prompt.PromptCodec;
 import org.tanagermoor.gateway.proto.ItemHeader;
 import org.tanagermoor.gateway.proto.ItemProgress;
 import org.tanagermoor.gateway.proto.JobItem;
 import org.tanagermoor.kernel.failure.Execution;
 import org.tanagermoor.kernel.failure.Failure;
+import org.tanagermoor.policy.prompt.Prompt;
 
 /**
  * Runs an item of a job, which this instance owns, until the item has a result. For each run it asks the dispatcher for
@@ -69,6 +71,8 @@
 
     private final JobItem item;
 
+    private final Prompt prompt;
+
     /** Data of the received events. */
     private final StringBuilder output = new StringBuilder();
 
@@ -121,12 +125,13 @@
         this.context = context;
         this.job = job;
         this.item = item;
+        prompt = PromptCodec.fromMessage(item.getPrompt());
         output.append(recorded.getOutput().toStringUtf8());
         lastEvent = recorded.getLastEvent();
         failures = recorded.getFailures();
         recordedEvent = lastEvent;
         recordedFailures = failures;
-        log = new ItemLog(context, job, item.getId(), context.time().nanos());
+        log = new ItemLog(context, job, item.getId(), prompt, context.time().nanos());
     }
 
     JobItem item() {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
@@ -96,6 +96,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tanagermoor_gateway_ItemHeader_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagermoor_gateway_PromptParts_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagermoor_gateway_PromptParts_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_tanagermoor_gateway_JobItem_descriptor;
   static final 
@@ -173,21 +178,23 @@
       "D\020\001\022\020\n\014RATE_LIMITED\020\002\022\016\n\nOVERLOADED\020\003\022\r\n" +
       "\tNO_TARGET\020\004\022\n\n\006RESYNC\020\005\"\037\n\014PermitRecall" +
       "\022\017\n\007permits\030\001 \003(\004\")\n\nItemHeader\022\014\n\004name\030" +
-      "\001 \001(\t\022\r\n\005value\030\002 \001(\t\"s\n\007JobItem\022\n\n\002id\030\001 " +
-      "\001(\t\022\014\n\004path\030\002 \001(\t\0220\n\007headers\030\003 \003(\0132\037.tan" +
-      "agermoor.gateway.ItemHeader\022\014\n\004body\030\004 \001(" +
-      "\014\022\016\n\006tokens\030\005 \001(\004\"9\n\nJobContent\022+\n\005items" +
-      "\030\001 \003(\0132\034.tanagermoor.gateway.JobItem\"\256\001\n" +
-      "\006JobRow\022\n\n\002id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004hos" +
-      "t\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022\027\n\017accepted_millis" +
-      "\030\005 \001(\004\022\r\n\005total\030\006 \001(\r\022\020\n\010recorded\030\007 \001(\r\022" +
-      "\r\n\005ended\030\010 \001(\010\022\026\n\016tokens_waiting\030\t \001(\004\022\r" +
-      "\n\005owner\030\n \001(\t\"=\n\nResultPart\022\014\n\004item\030\001 \001(" +
-      "\t\022\021\n\tcompleted\030\002 \001(\010\022\016\n\006output\030\003 \001(\014\"R\n\014" +
-      "ItemProgress\022\014\n\004item\030\001 \001(\t\022\022\n\nlast_event" +
-      "\030\002 \001(\004\022\016\n\006output\030\003 \001(\014\022\020\n\010failures\030\004 \001(\r" +
-      "B!\n\035org.tanagermoor.gateway.protoP\001b\006pro" +
-      "to3"
+      "\001 \001(\t\022\r\n\005value\030\002 \001(\t\"*\n\013PromptParts\022\016\n\006s" +
+      "hared\030\001 \003(\t\022\013\n\003own\030\002 \001(\t\"\245\001\n\007JobItem\022\n\n\002" +
+      "id\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\0220\n\007headers\030\003 \003(\0132" +
+      "\037.tanagermoor.gateway.ItemHeader\022\014\n\004body" +
+      "\030\004 \001(\014\022\016\n\006tokens\030\005 \001(\004\0220\n\006prompt\030\006 \001(\0132 " +
+      ".tanagermoor.gateway.PromptParts\"9\n\nJobC" +
+      "ontent\022+\n\005items\030\001 \003(\0132\034.tanagermoor.gate" +
+      "way.JobItem\"\256\001\n\006JobRow\022\n\n\002id\030\001 \001(\t\022\014\n\004te" +
+      "am\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022\027\n\017" +
+      "accepted_millis\030\005 \001(\004\022\r\n\005total\030\006 \001(\r\022\020\n\010" +
+      "recorded\030\007 \001(\r\022\r\n\005ended\030\010 \001(\010\022\026\n\016tokens_" +
+      "waiting\030\t \001(\004\022\r\n\005owner\030\n \001(\t\"=\n\nResultPa" +
+      "rt\022\014\n\004item\030\001 \001(\t\022\021\n\tcompleted\030\002 \001(\010\022\016\n\006o" +
+      "utput\030\003 \001(\014\"R\n\014ItemProgress\022\014\n\004item\030\001 \001(" +
+      "\t\022\022\n\nlast_event\030\002 \001(\004\022\016\n\006output\030\003 \001(\014\022\020\n" +
+      "\010failures\030\004 \001(\rB!\n\035org.tanagermoor.gatew" +
+      "ay.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -277,32 +284,38 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ItemHeader_descriptor,
         new java.lang.String[] { "Name", "Value", });
-    internal_static_tanagermoor_gateway_JobItem_descriptor =
+    internal_static_tanagermoor_gateway_PromptParts_descriptor =
       getDescriptor().getMessageType(14);
+    internal_static_tanagermoor_gateway_PromptParts_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagermoor_gateway_PromptParts_descriptor,
+        new java.lang.String[] { "Shared", "Own", });
+    internal_static_tanagermoor_gateway_JobItem_descriptor =
+      getDescriptor().getMessageType(15);
     internal_static_tanagermoor_gateway_JobItem_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_JobItem_descriptor,
-        new java.lang.String[] { "Id", "Path", "Headers", "Body", "Tokens", });
+        new java.lang.String[] { "Id", "Path", "Headers", "Body", "Tokens", "Prompt", });
     internal_static_tanagermoor_gateway_JobContent_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_tanagermoor_gateway_JobContent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_JobContent_descriptor,
         new java.lang.String[] { "Items", });
     internal_static_tanagermoor_gateway_JobRow_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_tanagermoor_gateway_JobRow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_JobRow_descriptor,
         new java.lang.String[] { "Id", "Team", "Host", "Path", "AcceptedMillis", "Total", "Recorded", "Ended", "TokensWaiting", "Owner", });
     internal_static_tanagermoor_gateway_ResultPart_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_tanagermoor_gateway_ResultPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ResultPart_descriptor,
         new java.lang.String[] { "Item", "Completed", "Output", });
     internal_static_tanagermoor_gateway_ItemProgress_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_tanagermoor_gateway_ItemProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ItemProgress_descriptor,
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/JobItem.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/JobItem.java
@@ -52,6 +52,7 @@
             org.tanagermoor.gateway.proto.JobItem.class, org.tanagermoor.gateway.proto.JobItem.Builder.class);
   }
 
+  private int bitField0_;
   public static final int ID_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object id_ = "";
@@ -193,6 +194,32 @@
     return tokens_;
   }
 
+  public static final int PROMPT_FIELD_NUMBER = 6;
+  private org.tanagermoor.gateway.proto.PromptParts prompt_;
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 6;</code>
+   * @return Whether the prompt field is set.
+   */
+  @java.lang.Override
+  public boolean hasPrompt() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 6;</code>
+   * @return The prompt.
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.PromptParts getPrompt() {
+    return prompt_ == null ? org.tanagermoor.gateway.proto.PromptParts.getDefaultInstance() : prompt_;
+  }
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 6;</code>
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.PromptPartsOrBuilder getPromptOrBuilder() {
+    return prompt_ == null ? org.tanagermoor.gateway.proto.PromptParts.getDefaultInstance() : prompt_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -222,6 +249,9 @@
     if (tokens_ != 0L) {
       output.writeUInt64(5, tokens_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(6, getPrompt());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -249,6 +279,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(5, tokens_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, getPrompt());
+    }
     return size;
   }
   @java.lang.Override
@@ -283,6 +317,11 @@
         .equals(other.getBody())) return false;
     if (getTokens()
         != other.getTokens()) return false;
+    if (hasPrompt() != other.hasPrompt()) return false;
+    if (hasPrompt()) {
+      if (!getPrompt()
+          .equals(other.getPrompt())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -307,6 +346,10 @@
     hash = (37 * hash) + TOKENS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getTokens());
+    if (hasPrompt()) {
+      hash = (37 * hash) + PROMPT_FIELD_NUMBER;
+      hash = (53 * hash) + getPrompt().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -426,13 +469,20 @@
 
     // Construct using org.tanagermoor.gateway.proto.JobItem.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetHeadersFieldBuilder();
+        internalGetPromptFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -449,6 +499,11 @@
       bitField0_ = (bitField0_ & ~0x00000004);
       body_ = com.google.protobuf.ByteString.EMPTY;
       tokens_ = 0L;
+      prompt_ = null;
+      if (promptBuilder_ != null) {
+        promptBuilder_.dispose();
+        promptBuilder_ = null;
+      }
       return this;
     }
 
@@ -507,6 +562,14 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.tokens_ = tokens_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.prompt_ = promptBuilder_ == null
+            ? prompt_
+            : promptBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -563,6 +626,9 @@
       if (other.getTokens() != 0L) {
         setTokens(other.getTokens());
       }
+      if (other.hasPrompt()) {
+        mergePrompt(other.getPrompt());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -620,6 +686,13 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 50: {
+              input.readMessage(
+                  internalGetPromptFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1079,6 +1152,125 @@
       return this;
     }
 
+    private org.tanagermoor.gateway.proto.PromptParts prompt_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tanagermoor.gateway.proto.PromptParts, org.tanagermoor.gateway.proto.PromptParts.Builder, org.tanagermoor.gateway.proto.PromptPartsOrBuilder> promptBuilder_;
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 6;</code>
+     * @return Whether the prompt field is set.
+     */
+    public boolean hasPrompt() {
+      return ((bitField0_ & 0x00000020) != 0);
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 6;</code>
+     * @return The prompt.
+     */
+    public org.tanagermoor.gateway.proto.PromptParts getPrompt() {
+      if (promptBuilder_ == null) {
+        return prompt_ == null ? org.tanagermoor.gateway.proto.PromptParts.getDefaultInstance() : prompt_;
+      } else {
+        return promptBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 6;</code>
+     */
+    public Builder setPrompt(org.tanagermoor.gateway.proto.PromptParts value) {
+      if (promptBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        prompt_ = value;
+      } else {
+        promptBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 6;</code>
+     */
+    public Builder setPrompt(
+        org.tanagermoor.gateway.proto.PromptParts.Builder builderForValue) {
+      if (promptBuilder_ == null) {
+        prompt_ = builderForValue.build();
+      } else {
+        promptBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 6;</code>
+     */
+    public Builder mergePrompt(org.tanagermoor.gateway.proto.PromptParts value) {
+      if (promptBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0) &&
+          prompt_ != null &&
+          prompt_ != org.tanagermoor.gateway.proto.PromptParts.getDefaultInstance()) {
+          getPromptBuilder().mergeFrom(value);
+        } else {
+          prompt_ = value;
+        }
+      } else {
+        promptBuilder_.mergeFrom(value);
+      }
+      if (prompt_ != null) {
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 6;</code>
+     */
+    public Builder clearPrompt() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      prompt_ = null;
+      if (promptBuilder_ != null) {
+        promptBuilder_.dispose();
+        promptBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 6;</code>
+     */
+    public org.tanagermoor.gateway.proto.PromptParts.Builder getPromptBuilder() {
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return internalGetPromptFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 6;</code>
+     */
+    public org.tanagermoor.gateway.proto.PromptPartsOrBuilder getPromptOrBuilder() {
+      if (promptBuilder_ != null) {
+        return promptBuilder_.getMessageOrBuilder();
+      } else {
+        return prompt_ == null ?
+            org.tanagermoor.gateway.proto.PromptParts.getDefaultInstance() : prompt_;
+      }
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 6;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tanagermoor.gateway.proto.PromptParts, org.tanagermoor.gateway.proto.PromptParts.Builder, org.tanagermoor.gateway.proto.PromptPartsOrBuilder> 
+        internalGetPromptFieldBuilder() {
+      if (promptBuilder_ == null) {
+        promptBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.tanagermoor.gateway.proto.PromptParts, org.tanagermoor.gateway.proto.PromptParts.Builder, org.tanagermoor.gateway.proto.PromptPartsOrBuilder>(
+                getPrompt(),
+                getParentForChildren(),
+                isClean());
+        prompt_ = null;
+      }
+      return promptBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.JobItem)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/JobItemOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/JobItemOrBuilder.java
@@ -69,4 +69,19 @@
    * @return The tokens.
    */
   long getTokens();
+
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 6;</code>
+   * @return Whether the prompt field is set.
+   */
+  boolean hasPrompt();
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 6;</code>
+   * @return The prompt.
+   */
+  org.tanagermoor.gateway.proto.PromptParts getPrompt();
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 6;</code>
+   */
+  org.tanagermoor.gateway.proto.PromptPartsOrBuilder getPromptOrBuilder();
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -59,6 +59,7 @@
 import org.tanagermoor.kernel.time.HybridClock;
 import org.tanagermoor.kernel.time.TimeSource;
 import org.tanagermoor.policy.fleet.InstanceId;
+import org.tanagermoor.policy.prompt.Prompt;
 import org.tanagermoor.store.object.ObjectStore;
 import org.tanagermoor.store.table.TableService;
 import org.tanagermoor.wire.link.Channel;
@@ -263,7 +264,8 @@
 
     /** Submits a job with a number of items. */
     private void submit(int count) {
-        CallHead head = new CallHead("j", "POST", "/batch/j", "/batch/j", "host", null, 0, 0, 0, List.of());
+        CallHead head =
+                new CallHead("j", "POST", "/batch/j", "/batch/j", "host", null, 0, Prompt.NONE, 0, 0, List.of());
         List<JobItem> items = IntStream.range(0, count)
                 .mapToObj(item -> JobItem.newBuilder()
                         .setId(Integer.toString(item))
--- /dev/null
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/prompt/Prompt.java
@@ -0,0 +1,43 @@
+package org.tanagermoor.policy.prompt;
+
+import java.util.List;
+
+/**
+ * The parts of a prompt, each named by its identity.
+ *
+ * @param shared The parts that other requests may also have, in their order.
+ * @param own The last part, which belongs to the request or its session; empty if there is none.
+ */
+public record Prompt(List<String> shared, String own) {
+
+    /** The prompt of a request that does not name any parts. */
+    public static final Prompt NONE = new Prompt(List.of(), "");
+
+    /** The maximum number of shared parts that are kept, which bounds the state for each request. */
+    private static final int MAX_SHARED_PARTS = 32;
+
+    /** The maximum number of characters of a part's identity; a part with a longer one is left out. */
+    private static final int MAX_PART_CHARS = 128;
+
+    /**
+     * Returns the prompt that is composed of the given parts.
+     *
+     * @param parts The identities of the parts in their order, the request's own part last.
+     * @return The prompt, without parts that exceed the limits.
+     */
+    public static Prompt of(List<String> parts) {
+        if (parts.isEmpty()) {
+            return NONE;
+        }
+        int last = parts.size() - 1;
+        List<String> shared = parts.subList(0, last).stream()
+                .filter(Prompt::fits)
+                .limit(MAX_SHARED_PARTS)
+                .toList();
+        return new Prompt(shared, fits(parts.get(last)) ? parts.get(last) : "");
+    }
+
+    private static boolean fits(String part) {
+        return !part.isEmpty() && part.length() <= MAX_PART_CHARS;
+    }
+}
