Treat a stream that ends inside an event, or before its first one, as broken off

Callers saw: half an event, then the end of a complete answer; nothing told them that the rest was missing, and a route that may be resumed was not resumed.

Cause: OnlineCall.end passed on the bytes after the last whole event and ended the answer. An answer without a length ends with its connection, so a target that crashes looks like one that is done. An answer that had only a head was completed as an empty stream. ItemRun checked the first case, but could ask for the same target again.

Change: EventFrames tells whether the stream ends inside an event (comments and empty lines are no event); such a run has failed, and is repeated, resumed or aborted like any other.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -312,8 +312,13 @@
         if (ended) {
             return;
         }
-        if (frames != null && frames.incompleteEvent().length > 0) {
-            responder.body(Unpooled.wrappedBuffer(frames.incompleteEvent()));
+        if (frames != null && brokenOff(frames)) {
+            exchange = null;
+            retryOrFail("the stream ended inside an event or before the first one");
+            return;
+        }
+        if (frames != null && frames.remainder().length > 0) {
+            responder.body(Unpooled.wrappedBuffer(frames.remainder()));
         }
         exchange = null;
         finish(PlaceOutcome.SERVED);
@@ -321,6 +326,11 @@
         responder.end();
     }
 
+    /** Returns whether a stream that has ended is not complete. One that was resumed may have no further event. */
+    private boolean brokenOff(EventFrames stream) {
+        return stream.insideEvent() || (!stream.eventCompleted() && lastEvent == 0);
+    }
+
     /** {@inheritDoc} */
     @Override
     public void failed(Failure failure) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/EventFrames.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/EventFrames.java
@@ -37,6 +37,8 @@
     /** The bytes of complete comments and of repeated events since the last new event. */
     private long idleBytes;
 
+    private boolean eventCompleted;
+
     /** Whether the line at which the search continues is empty so far. */
     private boolean lineEmpty = true;
 
@@ -62,6 +64,7 @@
             pending.readerIndex(nextEventEnd);
             lineEmpty = true;
             Event event = event(bytes);
+            eventCompleted |= !event.comment();
             updateIdleBytes(event);
             result.add(event);
         }
@@ -84,8 +87,23 @@
         }
     }
 
+    /** Returns whether an event has been completed; a comment is none. */
+    public boolean eventCompleted() {
+        return eventCompleted;
+    }
+
+    /**
+     * Returns whether the bytes so far end inside an event. Comments and empty lines after the last event belong to
+     * none.
+     */
+    public boolean insideEvent() {
+        return pending.toString(StandardCharsets.UTF_8)
+                .lines()
+                .anyMatch(line -> !line.isEmpty() && !line.startsWith(COMMENT));
+    }
+
     /** Returns the bytes after the last complete event; empty if there are none. */
-    public byte[] incompleteEvent() {
+    public byte[] remainder() {
         return ByteBufUtil.getBytes(pending);
     }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -356,8 +356,9 @@
             return;
         }
         exchange = null;
-        if (lastEvent == 0 || frames.incompleteEvent().length > 0) {
-            recordFailedRun("the answer ended within an event");
+        if (lastEvent == 0 || frames.insideEvent()) {
+            recordFailedRun("the answer ended inside an event");
+            excluded.add(targetId());
             retry(PlaceOutcome.FAILED, RETRY_DELAY_MILLIS);
             return;
         }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/EventFramesTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/EventFramesTest.java
@@ -46,7 +46,7 @@
         assertThat(rejoined.toString(StandardCharsets.UTF_8), is(STREAM));
         assertThat(events.stream().map(EventFrames.Event::number).toList(), is(List.of(1L, 2L, 3L)));
         assertThat(events.stream().map(EventFrames.Event::data).toList(), is(List.of("one", "two\nlines", "")));
-        assertThat(frames.incompleteEvent().length, is(0));
+        assertThat(frames.remainder().length, is(0));
     }
 
     /** Bytes after the last complete event are kept apart from it. */
@@ -56,7 +56,25 @@
         EventFrames frames = EventFrames.of();
         byte[] bytes = (STREAM + incompleteEvent).getBytes(StandardCharsets.UTF_8);
         assertThat(frames.add(Unpooled.wrappedBuffer(bytes)).size(), is(3));
-        assertThat(new String(frames.incompleteEvent(), StandardCharsets.UTF_8), is(incompleteEvent));
+        assertThat(new String(frames.remainder(), StandardCharsets.UTF_8), is(incompleteEvent));
+    }
+
+    /** A stream that ends inside an event is not complete; comments and empty lines after an event do not matter. */
+    @ParameterizedTest
+    @CsvSource({
+        "'', false, false",
+        "': alive', false, false",
+        "'\n', true, false",
+        "': alive\n', true, false",
+        "'i', true, true",
+        "'id: 4\n', true, true",
+        "': alive\ndata: x\n', true, true"
+    })
+    void recognizesAnEndInsideAnEvent(String end, boolean eventsBefore, boolean inside) {
+        EventFrames frames = EventFrames.of();
+        frames.add(Unpooled.wrappedBuffer(((eventsBefore ? STREAM : "") + end).getBytes(StandardCharsets.UTF_8)));
+        assertThat(frames.insideEvent(), is(inside));
+        assertThat(frames.eventCompleted(), is(eventsBefore));
     }
 
     /** Endless bytes without a new event are refused after a bounded number of them, whatever they contain. */
