Send nothing more to a target whose answer says that it leaves

Cause: only the store's word counted. The header of an answer was passed on to the caller and not read.

A new incarnation under the same identity is used again.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/FleetState.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/FleetState.java
@@ -5,8 +5,10 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +29,9 @@
      */
     private static final long TARGET_RETENTION_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
+    /** The maximum number of targets that are remembered as leaving. */
+    private static final int MAX_LEAVING = 1_024;
+
     private final FleetCodec codec;
 
     private final EventLog events;
@@ -45,6 +50,20 @@
      */
     private final Map<String, Long> expiring = new HashMap<>();
 
+    /**
+     * The targets that have said themselves that they are leaving, each with the time of its start in milliseconds: a
+     * later incarnation may have the same identity.
+     */
+    private final Map<String, Long> leaving = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        /** {@inheritDoc} */
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            return size() > MAX_LEAVING;
+        }
+    };
+
     /** {@code null} before one is known. */
     @Nullable
     private FleetConfiguration configuration;
@@ -77,20 +96,57 @@
     }
 
     /**
-     * Returns the target with an identity, if it may get requests: it is not draining and its failure domain is in
-     * service.
+     * Returns the target with an identity, if it may get requests: it is neither draining nor leaving and its failure
+     * domain is in service.
      */
     public Optional<TargetEntry> usableTarget(String id) {
         return target(id).filter(this::usable);
     }
 
     /**
-     * Returns the targets that may get requests: those that are not draining and whose failure domain is in service.
+     * Returns the targets that may get requests: those that are neither draining nor leaving and whose failure domain
+     * is in service.
      */
     public Collection<TargetEntry> usable() {
         return targets.values().stream().filter(this::usable).toList();
     }
 
+    /** Returns the targets that have said that they are leaving and whose entries are still there. */
+    public Collection<TargetEntry> leaving() {
+        return leaving.keySet().stream()
+                .map(targets::get)
+                .filter(Objects::nonNull)
+                .toList();
+    }
+
+    /** Returns identities of targets together with those of the targets that are leaving. */
+    public Set<String> withLeaving(Set<String> excluded) {
+        if (leaving.isEmpty()) {
+            return Set.copyOf(excluded);
+        }
+        Set<String> result = new HashSet<>(excluded);
+        leaving().forEach(target -> result.add(target.id()));
+        return result;
+    }
+
+    /**
+     * Records that a target has said that it is leaving, which may be known before the control store says so. Ignored
+     * if the target has been replaced by another incarnation.
+     *
+     * @param id The identity of the target.
+     * @param startedAtMillis The time of its start in milliseconds.
+     */
+    public void leaving(String id, long startedAtMillis) {
+        TargetEntry current = targets.get(id);
+        boolean replaced = current != null && current.startedAtMillis() != startedAtMillis;
+        if (replaced || leaving.containsKey(id)) {
+            return;
+        }
+        leaving.put(id, startedAtMillis);
+        events.record(GatewayEvent.TARGET_CHANGED, "target", id, "state", "leaving");
+        onChange.run();
+    }
+
     /** Returns the identities of all targets, including those that must not get requests. */
     public Set<String> targetIds() {
         return Set.copyOf(targets.keySet());
@@ -161,7 +217,7 @@
     }
 
     private boolean usable(TargetEntry target) {
-        return !target.draining() && !evacuated.contains(target.domain());
+        return !target.draining() && !leaving.containsKey(target.id()) && !evacuated.contains(target.domain());
     }
 
     /** Adopts a configuration unless it is unreadable or older than the one in use. */
@@ -189,6 +245,8 @@
     /** Adds or updates a target. */
     private void put(TargetEntry entry, long revision) {
         TargetEntry previous = targets.put(entry.id(), entry);
+        leaving.computeIfPresent(
+                entry.id(), (id, startedAt) -> startedAt == entry.startedAtMillis() ? startedAt : null);
         if (previous == null
                 || previous.draining() != entry.draining()
                 || previous.startedAtMillis() != entry.startedAtMillis()) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -116,7 +116,11 @@
         targetTable = follow(feed, codec.targetTable(), () -> 0, this::targetsChanged);
         dispatchServer = DispatchServer.of(loop, link, liveness, time, rates);
         dispatchClient = DispatchClient.of(loop, link, liveness, dispatchServer, rates, events, time);
-        connections = TargetConnections.of(loop, context.service(TargetProtocol.class), time);
+        connections = TargetConnections.of(
+                loop,
+                context.service(TargetProtocol.class),
+                time,
+                target -> loop.execute(() -> fleet.leaving(target.id(), target.startedAtMillis())));
         GatewayMetrics metrics = GatewayMetrics.of(context.metrics());
         TableService tables = context.service(TableService.class);
         jobs = Jobs.of(jobContext(context, tables, metrics, domain), liveness, this::jobStateFresh);
@@ -183,6 +187,8 @@
     void start(EventLoopGroup group, List<Address> addresses) {
         dispatchServer.localRecallHandler(jobs::recall);
         dispatchClient.recallHandler(jobs::recall);
+        dispatchClient.leavingTargets(fleet::leaving);
+        dispatchServer.leavingHandler(target -> fleet.leaving(target.getId(), target.getStartedMillis()));
         operatorTable.start();
         targetTable.start();
         jobTable.start();
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
@@ -5,15 +5,19 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.tanagermoor.gateway.GatewayEvent;
+import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.gateway.member.Instance;
 import org.tanagermoor.gateway.member.Liveness;
+import org.tanagermoor.gateway.proto.LeavingTarget;
 import org.tanagermoor.gateway.proto.PermitAnswer;
 import org.tanagermoor.gateway.proto.PermitCall;
 import org.tanagermoor.gateway.proto.PermitRecall;
@@ -80,6 +84,9 @@
     /** The rate limits of the teams, of which this instance admits a fraction while it is not the dispatcher. */
     private final TeamRates rates;
 
+    /** The targets that have told this instance that they are leaving. */
+    private Supplier<Collection<TargetEntry>> leavingTargets = List::of;
+
     private final EventLog events;
 
     private final TimeSource time;
@@ -166,6 +173,11 @@
                 }));
     }
 
+    /** Sets the source of the targets that have told this instance that they are leaving. */
+    public void leavingTargets(Supplier<Collection<TargetEntry>> value) {
+        leavingTargets = value;
+    }
+
     /** Returns the identity of this instance, under which it holds permits. */
     public String self() {
         return self;
@@ -344,6 +356,10 @@
                     .forEach(placement -> placement.local = false);
             localServer.dispatcher().forget(self, time.nanos());
         }
+        leavingTargets
+                .get()
+                .forEach(target -> call.addLeaving(
+                        LeavingTarget.newBuilder().setId(target.id()).setStartedMillis(target.startedAtMillis())));
         link.call(
                         dispatcher.peer(),
                         dispatcher.id().incarnation(),
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.tanagermoor.gateway.member.Liveness;
+import org.tanagermoor.gateway.proto.LeavingTarget;
 import org.tanagermoor.gateway.proto.PermitAnswer;
 import org.tanagermoor.gateway.proto.PermitCall;
 import org.tanagermoor.gateway.proto.PermitRecall;
@@ -68,6 +69,9 @@
     /** Receives the numbers of recalled permits that this instance holds. */
     private Consumer<Long> localRecallHandler = permit -> {};
 
+    /** Receives the targets that have told another instance that they are leaving. */
+    private Consumer<LeavingTarget> leavingHandler = target -> {};
+
     private DispatchServer(EventLoop loop, PeerLink link, Liveness liveness, TimeSource time, TeamRates rates) {
         this.loop = loop;
         this.link = link;
@@ -94,6 +98,11 @@
         localRecallHandler = value;
     }
 
+    /** Sets the handler that receives the targets that have told another instance that they are leaving. */
+    public void leavingHandler(Consumer<LeavingTarget> value) {
+        leavingHandler = value;
+    }
+
     /**
      * Starts to dispatch, as the successor of another instance or as the first one.
      *
@@ -221,6 +230,7 @@
     /** Handles a parsed message on the event loop. */
     private void handle(String holder, PermitCall call, MonoSink<Either<Failure, byte[]>> sink) {
         long now = time.nanos();
+        call.getLeavingList().forEach(leavingHandler);
         if (call.getResync()) {
             dispatcher.resync(
                     holder,
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -173,7 +173,7 @@
                                 Work.NONE,
                                 false,
                                 retrying,
-                                Set.copyOf(excluded)),
+                                context.fleet().withLeaving(excluded)),
                         this::decided);
     }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
@@ -40,6 +40,9 @@
     /** Called with this connection when it becomes idle. */
     private final Consumer<TargetConnection> onIdle;
 
+    /** Called with the target if an answer says that it is leaving. */
+    private final Consumer<TargetEntry> onLeaving;
+
     /** {@code null} before the connection is established. */
     @Nullable
     private ChannelHandlerContext context;
@@ -80,10 +83,15 @@
     /** The monotonic time in nanoseconds at which the connection became idle. */
     private long idleSince;
 
-    TargetConnection(TargetEntry target, TargetProtocol protocol, Consumer<TargetConnection> onIdle) {
+    TargetConnection(
+            TargetEntry target,
+            TargetProtocol protocol,
+            Consumer<TargetConnection> onIdle,
+            Consumer<TargetEntry> onLeaving) {
         this.target = target;
         this.protocol = protocol;
         this.onIdle = onIdle;
+        this.onLeaving = onLeaving;
     }
 
     TargetEntry target() {
@@ -194,12 +202,15 @@
 
     /** Handles the head of an answer. */
     private void receiveHead(HttpResponse response) {
+        TargetHead read = protocol.head(response);
+        if (read.leaving()) {
+            onLeaving.accept(target);
+        }
         if (response.status().code() < FIRST_FINAL_STATUS) {
             skipping = true;
             countSkipped(SKIPPED_HEAD_BYTES);
             return;
         }
-        TargetHead read = protocol.head(response);
         boolean forOtherRequest = !read.id().isEmpty() && !read.id().equals(id);
         boolean anonymous = read.id().isEmpty() && !read.notRun() && !read.misdirected();
         if (forOtherRequest) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnections.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnections.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.kernel.failure.Failure;
@@ -42,16 +43,21 @@
 
     private final TimeSource time;
 
+    /** Called with a target whose answer says that it is leaving. */
+    private final Consumer<TargetEntry> onLeaving;
+
     /** The idle connections by the identity of the target. */
     private final Map<String, Deque<TargetConnection>> idle = new HashMap<>();
 
     /** The identities of the targets to which idle connections may be kept. */
     private Set<String> retainedTargets = Set.of();
 
-    private TargetConnections(EventLoop loop, TargetProtocol protocol, TimeSource time) {
+    private TargetConnections(
+            EventLoop loop, TargetProtocol protocol, TimeSource time, Consumer<TargetEntry> onLeaving) {
         this.loop = loop;
         this.protocol = protocol;
         this.time = time;
+        this.onLeaving = onLeaving;
     }
 
     /**
@@ -60,9 +66,11 @@
      * @param loop The event loop on which all connections run.
      * @param protocol Encodes requests and decodes answers.
      * @param time The source of the current time.
+     * @param onLeaving Called with a target whose answer to any request says that it is leaving.
      */
-    public static TargetConnections of(EventLoop loop, TargetProtocol protocol, TimeSource time) {
-        return new TargetConnections(loop, protocol, time);
+    public static TargetConnections of(
+            EventLoop loop, TargetProtocol protocol, TimeSource time, Consumer<TargetEntry> onLeaving) {
+        return new TargetConnections(loop, protocol, time, onLeaving);
     }
 
     /**
@@ -81,7 +89,7 @@
             connection.send(protocol.request(targetRequest, target), targetRequest.id(), listener);
             return exchange;
         }
-        TargetConnection newConnection = new TargetConnection(target, protocol, this::release);
+        TargetConnection newConnection = new TargetConnection(target, protocol, this::release, onLeaving);
         FullHttpRequest request = protocol.request(targetRequest, target);
         connect(target, newConnection).addListener((ChannelFuture connectFuture) -> {
             if (exchange.cancelled) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetHead.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetHead.java
@@ -9,6 +9,7 @@
  * @param misdirected Whether an incarnation other than the expected one has the address.
  * @param signed Whether the answer has the target's signature.
  * @param events Whether the body is a stream of events.
+ * @param leaving Whether the target states that it is leaving.
  * @param idleTimeoutMillis How long the target keeps an idle connection, in milliseconds; 0 if it does not say.
  */
 public record TargetHead(
@@ -18,4 +19,5 @@
         boolean misdirected,
         boolean signed,
         boolean events,
+        boolean leaving,
         long idleTimeoutMillis) {}
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -215,7 +215,7 @@
                                 work,
                                 true,
                                 false,
-                                Set.copyOf(excluded)),
+                                context.fleet().withLeaving(excluded)),
                         decision -> onDecision(askedPermit, decision));
     }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitCall.java
@@ -35,6 +35,7 @@
   private PermitCall() {
     returns_ = java.util.Collections.emptyList();
     held_ = java.util.Collections.emptyList();
+    leaving_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -175,6 +176,67 @@
     return held_.get(index);
   }
 
+  public static final int LEAVING_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private java.util.List<org.tanagermoor.gateway.proto.LeavingTarget> leaving_;
+  /**
+   * <pre>
+   * The targets that have told the sender that they are leaving.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.tanagermoor.gateway.proto.LeavingTarget> getLeavingList() {
+    return leaving_;
+  }
+  /**
+   * <pre>
+   * The targets that have told the sender that they are leaving.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.tanagermoor.gateway.proto.LeavingTargetOrBuilder> 
+      getLeavingOrBuilderList() {
+    return leaving_;
+  }
+  /**
+   * <pre>
+   * The targets that have told the sender that they are leaving.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+   */
+  @java.lang.Override
+  public int getLeavingCount() {
+    return leaving_.size();
+  }
+  /**
+   * <pre>
+   * The targets that have told the sender that they are leaving.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.LeavingTarget getLeaving(int index) {
+    return leaving_.get(index);
+  }
+  /**
+   * <pre>
+   * The targets that have told the sender that they are leaving.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.LeavingTargetOrBuilder getLeavingOrBuilder(
+      int index) {
+    return leaving_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -201,6 +263,9 @@
     for (int i = 0; i < held_.size(); i++) {
       output.writeMessage(4, held_.get(i));
     }
+    for (int i = 0; i < leaving_.size(); i++) {
+      output.writeMessage(5, leaving_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -231,6 +296,15 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = leaving_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(leaving_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -266,6 +340,8 @@
         != other.getResync()) return false;
     if (!getHeldList()
         .equals(other.getHeldList())) return false;
+    if (!getLeavingList()
+        .equals(other.getLeavingList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -292,6 +368,10 @@
       hash = (37 * hash) + HELD_FIELD_NUMBER;
       hash = (53 * hash) + getHeldList().hashCode();
     }
+    if (getLeavingCount() > 0) {
+      hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+      hash = (53 * hash) + getLeavingList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -430,6 +510,7 @@
         internalGetAskFieldBuilder();
         internalGetReturnsFieldBuilder();
         internalGetHeldFieldBuilder();
+        internalGetLeavingFieldBuilder();
       }
     }
     @java.lang.Override
@@ -456,6 +537,13 @@
         heldBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
+      if (leavingBuilder_ == null) {
+        leaving_ = java.util.Collections.emptyList();
+      } else {
+        leaving_ = null;
+        leavingBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000010);
       return this;
     }
 
@@ -507,6 +595,15 @@
       } else {
         result.held_ = heldBuilder_.build();
       }
+      if (leavingBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0)) {
+          leaving_ = java.util.Collections.unmodifiableList(leaving_);
+          bitField0_ = (bitField0_ & ~0x00000010);
+        }
+        result.leaving_ = leaving_;
+      } else {
+        result.leaving_ = leavingBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.tanagermoor.gateway.proto.PermitCall result) {
@@ -594,6 +691,32 @@
           }
         }
       }
+      if (leavingBuilder_ == null) {
+        if (!other.leaving_.isEmpty()) {
+          if (leaving_.isEmpty()) {
+            leaving_ = other.leaving_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+          } else {
+            ensureLeavingIsMutable();
+            leaving_.addAll(other.leaving_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.leaving_.isEmpty()) {
+          if (leavingBuilder_.isEmpty()) {
+            leavingBuilder_.dispose();
+            leavingBuilder_ = null;
+            leaving_ = other.leaving_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+            leavingBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLeavingFieldBuilder() : null;
+          } else {
+            leavingBuilder_.addAllMessages(other.leaving_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -656,6 +779,19 @@
               }
               break;
             } // case 34
+            case 42: {
+              org.tanagermoor.gateway.proto.LeavingTarget m =
+                  input.readMessage(
+                      org.tanagermoor.gateway.proto.LeavingTarget.parser(),
+                      extensionRegistry);
+              if (leavingBuilder_ == null) {
+                ensureLeavingIsMutable();
+                leaving_.add(m);
+              } else {
+                leavingBuilder_.addMessage(m);
+              }
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1292,6 +1428,312 @@
       return heldBuilder_;
     }
 
+    private java.util.List<org.tanagermoor.gateway.proto.LeavingTarget> leaving_ =
+      java.util.Collections.emptyList();
+    private void ensureLeavingIsMutable() {
+      if (!((bitField0_ & 0x00000010) != 0)) {
+        leaving_ = new java.util.ArrayList<org.tanagermoor.gateway.proto.LeavingTarget>(leaving_);
+        bitField0_ |= 0x00000010;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.tanagermoor.gateway.proto.LeavingTarget, org.tanagermoor.gateway.proto.LeavingTarget.Builder, org.tanagermoor.gateway.proto.LeavingTargetOrBuilder> leavingBuilder_;
+
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public java.util.List<org.tanagermoor.gateway.proto.LeavingTarget> getLeavingList() {
+      if (leavingBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(leaving_);
+      } else {
+        return leavingBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public int getLeavingCount() {
+      if (leavingBuilder_ == null) {
+        return leaving_.size();
+      } else {
+        return leavingBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public org.tanagermoor.gateway.proto.LeavingTarget getLeaving(int index) {
+      if (leavingBuilder_ == null) {
+        return leaving_.get(index);
+      } else {
+        return leavingBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public Builder setLeaving(
+        int index, org.tanagermoor.gateway.proto.LeavingTarget value) {
+      if (leavingBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLeavingIsMutable();
+        leaving_.set(index, value);
+        onChanged();
+      } else {
+        leavingBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public Builder setLeaving(
+        int index, org.tanagermoor.gateway.proto.LeavingTarget.Builder builderForValue) {
+      if (leavingBuilder_ == null) {
+        ensureLeavingIsMutable();
+        leaving_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        leavingBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public Builder addLeaving(org.tanagermoor.gateway.proto.LeavingTarget value) {
+      if (leavingBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLeavingIsMutable();
+        leaving_.add(value);
+        onChanged();
+      } else {
+        leavingBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public Builder addLeaving(
+        int index, org.tanagermoor.gateway.proto.LeavingTarget value) {
+      if (leavingBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLeavingIsMutable();
+        leaving_.add(index, value);
+        onChanged();
+      } else {
+        leavingBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public Builder addLeaving(
+        org.tanagermoor.gateway.proto.LeavingTarget.Builder builderForValue) {
+      if (leavingBuilder_ == null) {
+        ensureLeavingIsMutable();
+        leaving_.add(builderForValue.build());
+        onChanged();
+      } else {
+        leavingBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public Builder addLeaving(
+        int index, org.tanagermoor.gateway.proto.LeavingTarget.Builder builderForValue) {
+      if (leavingBuilder_ == null) {
+        ensureLeavingIsMutable();
+        leaving_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        leavingBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public Builder addAllLeaving(
+        java.lang.Iterable<? extends org.tanagermoor.gateway.proto.LeavingTarget> values) {
+      if (leavingBuilder_ == null) {
+        ensureLeavingIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, leaving_);
+        onChanged();
+      } else {
+        leavingBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public Builder clearLeaving() {
+      if (leavingBuilder_ == null) {
+        leaving_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onChanged();
+      } else {
+        leavingBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public Builder removeLeaving(int index) {
+      if (leavingBuilder_ == null) {
+        ensureLeavingIsMutable();
+        leaving_.remove(index);
+        onChanged();
+      } else {
+        leavingBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public org.tanagermoor.gateway.proto.LeavingTarget.Builder getLeavingBuilder(
+        int index) {
+      return internalGetLeavingFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public org.tanagermoor.gateway.proto.LeavingTargetOrBuilder getLeavingOrBuilder(
+        int index) {
+      if (leavingBuilder_ == null) {
+        return leaving_.get(index);  } else {
+        return leavingBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public java.util.List<? extends org.tanagermoor.gateway.proto.LeavingTargetOrBuilder> 
+         getLeavingOrBuilderList() {
+      if (leavingBuilder_ != null) {
+        return leavingBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(leaving_);
+      }
+    }
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public org.tanagermoor.gateway.proto.LeavingTarget.Builder addLeavingBuilder() {
+      return internalGetLeavingFieldBuilder().addBuilder(
+          org.tanagermoor.gateway.proto.LeavingTarget.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public org.tanagermoor.gateway.proto.LeavingTarget.Builder addLeavingBuilder(
+        int index) {
+      return internalGetLeavingFieldBuilder().addBuilder(
+          index, org.tanagermoor.gateway.proto.LeavingTarget.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The targets that have told the sender that they are leaving.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+     */
+    public java.util.List<org.tanagermoor.gateway.proto.LeavingTarget.Builder> 
+         getLeavingBuilderList() {
+      return internalGetLeavingFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.tanagermoor.gateway.proto.LeavingTarget, org.tanagermoor.gateway.proto.LeavingTarget.Builder, org.tanagermoor.gateway.proto.LeavingTargetOrBuilder> 
+        internalGetLeavingFieldBuilder() {
+      if (leavingBuilder_ == null) {
+        leavingBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.tanagermoor.gateway.proto.LeavingTarget, org.tanagermoor.gateway.proto.LeavingTarget.Builder, org.tanagermoor.gateway.proto.LeavingTargetOrBuilder>(
+                leaving_,
+                ((bitField0_ & 0x00000010) != 0),
+                getParentForChildren(),
+                isClean());
+        leaving_ = null;
+      }
+      return leavingBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.PermitCall)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitCallOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitCallOrBuilder.java
@@ -78,4 +78,48 @@
    */
   org.tanagermoor.gateway.proto.HeldPermitOrBuilder getHeldOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The targets that have told the sender that they are leaving.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+   */
+  java.util.List<org.tanagermoor.gateway.proto.LeavingTarget> 
+      getLeavingList();
+  /**
+   * <pre>
+   * The targets that have told the sender that they are leaving.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+   */
+  org.tanagermoor.gateway.proto.LeavingTarget getLeaving(int index);
+  /**
+   * <pre>
+   * The targets that have told the sender that they are leaving.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+   */
+  int getLeavingCount();
+  /**
+   * <pre>
+   * The targets that have told the sender that they are leaving.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+   */
+  java.util.List<? extends org.tanagermoor.gateway.proto.LeavingTargetOrBuilder> 
+      getLeavingOrBuilderList();
+  /**
+   * <pre>
+   * The targets that have told the sender that they are leaving.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.LeavingTarget leaving = 5;</code>
+   */
+  org.tanagermoor.gateway.proto.LeavingTargetOrBuilder getLeavingOrBuilder(
+      int index);
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/TargetConnectionsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/TargetConnectionsTest.java
@@ -109,7 +109,8 @@
         byte[] own = bytes("HTTP/1.1 201 OK~X-Request-Id: q~Content-Length: 1~~y");
         CompletableFuture<Void> served = CompletableFuture.runAsync(() -> serveWithCopies(bytes(answer), own));
         EventLoop loop = group.next();
-        TargetConnections connections = TargetConnections.of(loop, new Protocol(), TimeSource.ForSystem.INSTANCE);
+        TargetConnections connections =
+                TargetConnections.of(loop, new Protocol(), TimeSource.ForSystem.INSTANCE, target -> {});
         CompletableFuture<Integer> first = new CompletableFuture<>();
         CompletableFuture<Integer> second = new CompletableFuture<>();
         loop.execute(() -> {
@@ -154,7 +155,8 @@
     private CompletableFuture<Failure> send() {
         CompletableFuture<Failure> failure = new CompletableFuture<>();
         EventLoop loop = group.next();
-        TargetConnections connections = TargetConnections.of(loop, new Protocol(), TimeSource.ForSystem.INSTANCE);
+        TargetConnections connections =
+                TargetConnections.of(loop, new Protocol(), TimeSource.ForSystem.INSTANCE, target -> {});
         loop.execute(() -> connections.send(entry(), request("r"), new Listener(failure)));
         return failure;
     }
@@ -275,7 +277,7 @@
         public TargetHead head(HttpResponse response) {
             String id = response.headers().get("X-Request-Id", "");
             boolean notRun = response.headers().contains("X-Not-Run");
-            return new TargetHead(response.status().code(), id, notRun, false, true, false, 0);
+            return new TargetHead(response.status().code(), id, notRun, false, true, false, false, 0);
         }
     }
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -161,7 +161,7 @@
                 channel.eventLoop(),
                 fleet,
                 dispatch,
-                TargetConnections.of(channel.eventLoop(), new Protocol(), time),
+                TargetConnections.of(channel.eventLoop(), new Protocol(), time, target -> {}),
                 store,
                 log,
                 GatewayMetrics.of(new MetricRegistry()),
