--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -28,12 +28,14 @@
 import org.tanagermoor.gateway.member.Instance;
 import org.tanagermoor.gateway.member.InstanceTable;
 import org.tanagermoor.gateway.member.Liveness;
+import org.tanagermoor.gateway.quarantine.PartQuarantine;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.event.KernelEvent;
 import org.tanagermoor.kernel.plugin.Context;
 import org.tanagermoor.kernel.setting.Address;
 import org.tanagermoor.kernel.time.TimeSource;
 import org.tanagermoor.policy.fleet.InstanceId;
+import org.tanagermoor.policy.quarantine.Quarantine;
 import org.tanagermoor.store.object.ObjectStore;
 import org.tanagermoor.store.table.TableService;
 import org.tanagermoor.wire.link.PeerLink;
@@ -83,6 +85,9 @@
 
     private final TeamRates rates = TeamRates.of();
 
+    /** The parts of prompts that crash targets and are held back. */
+    private final PartQuarantine quarantine;
+
     /** Assigns places to requests of this and other instances. */
     private final DispatchServer dispatchServer;
 
@@ -114,7 +119,10 @@
         ChangeFeed feed = context.service(ChangeFeed.class);
         operatorTable = follow(feed, codec.operatorTable(), () -> 0, fleet::operatorChanged);
         targetTable = follow(feed, codec.targetTable(), () -> 0, this::targetsChanged);
-        dispatchServer = DispatchServer.of(loop, link, liveness, time, rates);
+        TableService tables = context.service(TableService.class);
+        Quarantine parts = Quarantine.of();
+        quarantine = PartQuarantine.of(parts, tables, loop, events, time);
+        dispatchServer = DispatchServer.of(loop, link, liveness, time, rates, parts);
         dispatchClient = DispatchClient.of(loop, link, liveness, dispatchServer, rates, events, time);
         connections = TargetConnections.of(
                 loop,
@@ -122,7 +130,6 @@
                 time,
                 target -> loop.execute(() -> fleet.leaving(target.id(), target.startedAtMillis())));
         GatewayMetrics metrics = GatewayMetrics.of(context.metrics());
-        TableService tables = context.service(TableService.class);
         jobs = Jobs.of(jobContext(context, tables, metrics, domain), liveness, this::jobStateFresh);
         jobTable = follow(feed, JobStore.JOBS_TABLE, this::jobReadInterval, jobs::rowsChanged);
         CallerProtocol protocol = context.service(CallerProtocol.class);
@@ -137,6 +144,7 @@
                         metrics,
                         time,
                         CallerDeadlines.of(),
+                        quarantine,
                         domain),
                 liveness,
                 jobs);
@@ -146,6 +154,7 @@
                 liveness,
                 List.of(operatorTable, targetTable),
                 context.settings().value(GatewayPlugin.SEEDS),
+                quarantine,
                 events,
                 time);
         instances = InstanceTable.of(tables, loop, liveness, events, time, gossip::probe);
@@ -166,6 +175,7 @@
                 events,
                 metrics,
                 time,
+                quarantine,
                 domain,
                 new HashMap<>(),
                 ItemPace.of(),
@@ -188,6 +198,8 @@
         dispatchServer.localRecallHandler(jobs::recall);
         dispatchClient.recallHandler(jobs::recall);
         dispatchClient.leavingTargets(fleet::leaving);
+        dispatchServer.quarantineHandler(quarantine::publish);
+        quarantine.start(gossip::broadcast);
         dispatchServer.leavingHandler(target -> fleet.leaving(target.getId(), target.getStartedMillis()));
         operatorTable.start();
         targetTable.start();
@@ -227,6 +239,11 @@
         edge.close();
     }
 
+    /** Returns the parts of prompts that are held back, for operators. */
+    PartQuarantine quarantine() {
+        return quarantine;
+    }
+
     /** Returns the number of requests that are being answered. */
     int activeCalls() {
         return edge.activeCalls();
@@ -262,6 +279,7 @@
         fleet.tick(now);
         dispatchClient.tick(now);
         dispatchServer.tick(now);
+        quarantine.tick(liveness.dispatcher(now).id().equals(liveness.self().id()), now);
         jobs.tick(now);
     }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayPlugin.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayPlugin.java
@@ -144,7 +144,8 @@
         drain = context.settings().value(STOP_GRACE).minus(STOP_MARGIN);
         Gateway started = Gateway.of(context, chosen);
         gateway = started;
-        metrics = MetricsListener.of(group, context.settings().value(METRICS_ADDRESS), context.metrics());
+        metrics = MetricsListener.of(
+                group, context.settings().value(METRICS_ADDRESS), context.metrics(), chosen, started.quarantine());
         started.start(
                 group,
                 List.of(
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Ask.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Ask.java
@@ -1,6 +1,7 @@
 package org.tanagermoor.gateway.dispatch;
 
 import java.util.Set;
+import org.tanagermoor.policy.prompt.Prompt;
 
 /**
  * An ask: the request of an instance to the dispatcher for a place at a target, for an online request or an item of a
@@ -19,6 +20,7 @@
  * @param batch Whether the place is for an item of a job.
  * @param returning Whether the caller was refused before and tries again.
  * @param excluded The identities of targets that must not be chosen.
+ * @param prompt The parts of the prompt; {@link Prompt#NONE} if they are unknown.
  */
 public record Ask(
         String holder,
@@ -32,7 +34,56 @@
         Work work,
         boolean batch,
         boolean returning,
-        Set<String> excluded) {
+        Set<String> excluded,
+        Prompt prompt) {
+
+    /** Creates an ask of a request whose prompt is unknown. */
+    public Ask(
+            String holder,
+            long permit,
+            String service,
+            String team,
+            String domain,
+            long promptKey,
+            long waitNanos,
+            long onTimeNanos,
+            Work work,
+            boolean batch,
+            boolean returning,
+            Set<String> excluded) {
+        this(
+                holder,
+                permit,
+                service,
+                team,
+                domain,
+                promptKey,
+                waitNanos,
+                onTimeNanos,
+                work,
+                batch,
+                returning,
+                excluded,
+                Prompt.NONE);
+    }
+
+    /** Returns this ask with the parts of its prompt. */
+    public Ask withPrompt(Prompt value) {
+        return new Ask(
+                holder,
+                permit,
+                service,
+                team,
+                domain,
+                promptKey,
+                waitNanos,
+                onTimeNanos,
+                work,
+                batch,
+                returning,
+                excluded,
+                value);
+    }
 
     /** Returns this ask with its times reduced by the nanoseconds that it has waited already. */
     Ask after(long waitedNanos) {
@@ -48,6 +99,7 @@
                 work,
                 batch,
                 returning,
-                excluded);
+                excluded,
+                prompt);
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
@@ -25,6 +25,7 @@
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.kernel.time.TimeSource;
+import org.tanagermoor.policy.quarantine.Crash;
 import org.tanagermoor.wire.link.Channel;
 import org.tanagermoor.wire.link.PeerLink;
 import reactor.core.publisher.Mono;
@@ -100,6 +101,9 @@
     /** The outcomes of returned permits that the dispatcher has not been told of, by the number of the permit. */
     private final Map<Long, PlaceOutcome> pendingReturns = new HashMap<>();
 
+    /** What a new dispatcher is told about targets that crashed under requests of this instance. */
+    private final CrashReports crashReports = CrashReports.of();
+
     /** The fraction of the places that online requests leave free, by service, as a dispatcher last reported it. */
     private final Map<String, Double> headroomByService = new HashMap<>();
 
@@ -211,6 +215,7 @@
         if (placement == null) {
             return;
         }
+        remember(placement, outcome);
         if (placement.local) {
             localServer.dispatcher().release(self, permit, outcome, time.nanos());
         } else {
@@ -219,6 +224,24 @@
         }
     }
 
+    /** Remembers what the end of a run says about the parts of its prompt. */
+    private void remember(Placement placement, PlaceOutcome outcome) {
+        Ask ask = placement.ask;
+        if (outcome == PlaceOutcome.SERVED) {
+            crashReports.answered(ask.prompt().shared());
+        } else if (outcome == PlaceOutcome.CRASHED) {
+            crashReports.add(
+                    ask.permit(),
+                    new Crash(
+                            DispatchCodec.run(self, ask.permit()),
+                            self,
+                            placement.target,
+                            ask.prompt(),
+                            placement.grantedAt,
+                            time.nanos()));
+        }
+    }
+
     /**
      * Detects a change of the dispatcher, and hands the pending asks over to the new one.
      *
@@ -242,6 +265,7 @@
                     .toList();
             placements.values().forEach(placement -> placement.local = true);
             localServer.dispatcher().resync(self, occupiedPlaces(), now);
+            crashReports.crashes().forEach(crash -> localServer.dispatcher().crashed(crash, now));
             asking.forEach(placement -> request(placement, now));
         } else {
             localServer.end();
@@ -351,6 +375,7 @@
         if (resync) {
             call.setResync(true);
             occupiedPlaces().forEach(place -> call.addHeld(DispatchCodec.toMessage(place)));
+            call.addAllCrashes(crashReports.messages(time.nanos()));
             placements.values().stream()
                     .filter(placement -> !placement.target.isEmpty())
                     .forEach(placement -> placement.local = false);
@@ -389,7 +414,7 @@
                 placement.grantedAt = time.nanos();
                 placement.answer.accept(new PlacementDecision.Granted(answer.getTarget()));
             }
-            case RATE_LIMITED, OVERLOADED, NO_TARGET -> finish(placement, DispatchCodec.refusal(answer));
+            case RATE_LIMITED, OVERLOADED, NO_TARGET, QUARANTINED -> finish(placement, DispatchCodec.refusal(answer));
             default -> request(placement);
         }
     }
@@ -499,12 +524,13 @@
         /** Returns the place in use, for a report to the dispatcher. */
         private Dispatcher.OccupiedPlace place(long now) {
             return new Dispatcher.OccupiedPlace(
-                    ask.permit(),
-                    ask.service(),
-                    target,
-                    ask.batch(),
-                    ask.onTimeNanos() - (grantedAt - askedAt),
-                    ask.work().after(now - grantedAt));
+                            ask.permit(),
+                            ask.service(),
+                            target,
+                            ask.batch(),
+                            ask.onTimeNanos() - (grantedAt - askedAt),
+                            ask.work().after(now - grantedAt))
+                    .withRun(ask.prompt(), now - grantedAt);
         }
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchCodec.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchCodec.java
@@ -3,11 +3,14 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.tanagermoor.gateway.prompt.PromptCodec;
+import org.tanagermoor.gateway.proto.CrashReport;
 import org.tanagermoor.gateway.proto.HeldPermit;
 import org.tanagermoor.gateway.proto.PermitAnswer;
 import org.tanagermoor.gateway.proto.PermitAsk;
 import org.tanagermoor.gateway.proto.PermitReturn;
 import org.tanagermoor.gateway.proto.PermitWork;
+import org.tanagermoor.policy.quarantine.Crash;
 
 /** Converts asks, decisions and occupied places to and from the messages between instances. */
 final class DispatchCodec {
@@ -31,12 +34,13 @@
                 .setBatch(ask.batch())
                 .setReturning(ask.returning())
                 .addAllExcluded(ask.excluded())
+                .setPrompt(PromptCodec.toMessage(ask.prompt()))
                 .build();
     }
 
     /** Reads an ask of the holder that sent the message. */
     static Ask fromMessage(String holder, PermitAsk message) {
-        return new Ask(
+        Ask ask = new Ask(
                 holder,
                 message.getPermit(),
                 message.getService(),
@@ -49,6 +53,7 @@
                 message.getBatch(),
                 message.getReturning(),
                 Set.copyOf(message.getExcludedList()));
+        return ask.withPrompt(PromptCodec.fromMessage(message.getPrompt()));
     }
 
     /** Writes a decision, and the fraction of the places of the service that online requests leave free. */
@@ -62,6 +67,7 @@
             case PlacementDecision.Refused refused ->
                 answer.setKind(kind(refused.reason()))
                         .setRetryAfterMillis((int) Math.min(Integer.MAX_VALUE, refused.retryAfterMillis()))
+                        .setDetail(refused.detail())
                         .build();
         };
     }
@@ -72,9 +78,10 @@
                 switch (message.getKind()) {
                     case RATE_LIMITED -> PlacementDecision.Reason.RATE_LIMITED;
                     case NO_TARGET -> PlacementDecision.Reason.NO_TARGET;
+                    case QUARANTINED -> PlacementDecision.Reason.QUARANTINED;
                     default -> PlacementDecision.Reason.OVERLOADED;
                 };
-        return new PlacementDecision.Refused(reason, message.getRetryAfterMillis());
+        return new PlacementDecision.Refused(reason, message.getRetryAfterMillis(), message.getDetail());
     }
 
     /** Reads the fraction of the places that online requests leave free; empty if the message has none. */
@@ -91,6 +98,8 @@
             case UNREACHABLE -> PermitReturn.Outcome.UNREACHABLE;
             case FULL -> PermitReturn.Outcome.FULL;
             case FAILED -> PermitReturn.Outcome.FAILED;
+            case CRASHED -> PermitReturn.Outcome.CRASHED;
+            case ABANDONED -> PermitReturn.Outcome.ABANDONED;
         };
     }
 
@@ -101,6 +110,8 @@
             case UNREACHABLE -> PlaceOutcome.UNREACHABLE;
             case FULL -> PlaceOutcome.FULL;
             case FAILED -> PlaceOutcome.FAILED;
+            case CRASHED -> PlaceOutcome.CRASHED;
+            case ABANDONED -> PlaceOutcome.ABANDONED;
             default -> PlaceOutcome.UNUSED;
         };
     }
@@ -114,18 +125,49 @@
                 .setBatch(place.batch())
                 .setOnTimeMillis((int) TimeUnit.NANOSECONDS.toMillis(place.slackNanos()))
                 .setWork(toMessage(place.work()))
+                .setPrompt(PromptCodec.toMessage(place.prompt()))
+                .setAgeMillis((int) TimeUnit.NANOSECONDS.toMillis(place.heldNanos()))
                 .build();
     }
 
     /** Reads a place in use. */
     static Dispatcher.OccupiedPlace fromMessage(HeldPermit message) {
-        return new Dispatcher.OccupiedPlace(
+        Dispatcher.OccupiedPlace place = new Dispatcher.OccupiedPlace(
                 message.getPermit(),
                 message.getService(),
                 message.getTarget(),
                 message.getBatch(),
                 TimeUnit.MILLISECONDS.toNanos(message.getOnTimeMillis()),
                 fromMessage(message.getWork()));
+        return place.withRun(
+                PromptCodec.fromMessage(message.getPrompt()), TimeUnit.MILLISECONDS.toNanos(message.getAgeMillis()));
+    }
+
+    /** Writes a run that broke off; its holder is the sender of the message. */
+    static CrashReport toMessage(long permit, Crash crash, long now) {
+        return CrashReport.newBuilder()
+                .setPermit(permit)
+                .setTarget(crash.target())
+                .setPrompt(PromptCodec.toMessage(crash.prompt()))
+                .setSentAgeMillis((int) TimeUnit.NANOSECONDS.toMillis(now - crash.sentAt()))
+                .setBrokeAgeMillis((int) TimeUnit.NANOSECONDS.toMillis(now - crash.brokeAt()))
+                .build();
+    }
+
+    /** Reads a run that broke off. */
+    static Crash fromMessage(String holder, CrashReport message, long now) {
+        return new Crash(
+                run(holder, message.getPermit()),
+                holder,
+                message.getTarget(),
+                PromptCodec.fromMessage(message.getPrompt()),
+                now - TimeUnit.MILLISECONDS.toNanos(message.getSentAgeMillis()),
+                now - TimeUnit.MILLISECONDS.toNanos(message.getBrokeAgeMillis()));
+    }
+
+    /** Returns the identity of the run of a permit, unique in the fleet. */
+    static String run(String holder, long permit) {
+        return holder + "/" + permit;
     }
 
     /** Writes the remaining work, with the done fraction in thousandths. */
@@ -146,6 +188,7 @@
             case RATE_LIMITED -> PermitAnswer.Kind.RATE_LIMITED;
             case OVERLOADED -> PermitAnswer.Kind.OVERLOADED;
             case NO_TARGET -> PermitAnswer.Kind.NO_TARGET;
+            case QUARANTINED -> PermitAnswer.Kind.QUARANTINED;
         };
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
@@ -17,6 +17,8 @@
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.kernel.time.TimeSource;
 import org.tanagermoor.policy.fleet.InstanceId;
+import org.tanagermoor.policy.quarantine.Quarantine;
+import org.tanagermoor.policy.quarantine.QuarantineEntry;
 import org.tanagermoor.wire.link.Channel;
 import org.tanagermoor.wire.link.PeerLink;
 import reactor.core.publisher.Mono;
@@ -40,6 +42,9 @@
      */
     private static final long REPORT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
+    /** The number of instances whose requests must have been broken off before a part of prompts is held back. */
+    private static final int MIN_HOLDERS = 2;
+
     /** The timeout of a recall sent to the holder of a permit. */
     private static final java.time.Duration RECALL_TIMEOUT = java.time.Duration.ofMillis(500);
 
@@ -54,7 +59,7 @@
 
     private final Dispatcher dispatcher;
 
-    /** The receivers of answers to queued asks, by holder and number of the permit. */
+    /** The receivers of answers to queued asks, by the identity of the run. */
     private final Map<String, Consumer<PermitAnswer>> waiting = new HashMap<>();
 
     /**
@@ -72,18 +77,22 @@
     /** Receives the targets that have told another instance that they are leaving. */
     private Consumer<LeavingTarget> leavingHandler = target -> {};
 
-    private DispatchServer(EventLoop loop, PeerLink link, Liveness liveness, TimeSource time, TeamRates rates) {
+    /** Receives the new records of parts of prompts that are held back, tried or released. */
+    private Consumer<QuarantineEntry> quarantineHandler = entry -> {};
+
+    private DispatchServer(
+            EventLoop loop, PeerLink link, Liveness liveness, TimeSource time, TeamRates rates, Quarantine quarantine) {
         this.loop = loop;
         this.link = link;
         this.liveness = liveness;
         this.time = time;
-        dispatcher = Dispatcher.of(this, rates);
+        dispatcher = Dispatcher.of(this, rates, quarantine);
     }
 
     /** Returns a server that handles its channel of the link. */
     public static DispatchServer of(
-            EventLoop loop, PeerLink link, Liveness liveness, TimeSource time, TeamRates rates) {
-        DispatchServer server = new DispatchServer(loop, link, liveness, time, rates);
+            EventLoop loop, PeerLink link, Liveness liveness, TimeSource time, TeamRates rates, Quarantine quarantine) {
+        DispatchServer server = new DispatchServer(loop, link, liveness, time, rates, quarantine);
         link.handle(Channel.DISPATCH, server::handle);
         return server;
     }
@@ -98,6 +107,11 @@
         localRecallHandler = value;
     }
 
+    /** Sets the handler that receives the new records of parts of prompts that are held back, tried or released. */
+    public void quarantineHandler(Consumer<QuarantineEntry> value) {
+        quarantineHandler = value;
+    }
+
     /** Sets the handler that receives the targets that have told another instance that they are leaving. */
     public void leavingHandler(Consumer<LeavingTarget> value) {
         leavingHandler = value;
@@ -143,7 +157,7 @@
             return;
         }
         scheduleCheck();
-        String key = key(ask.holder(), ask.permit());
+        String key = DispatchCodec.run(ask.holder(), ask.permit());
         waiting.put(key, answer);
         loop.schedule(
                 () -> {
@@ -166,6 +180,7 @@
                 dispatcher.forget(holder, now);
             }
         }
+        dispatcher.minHolders(liveness.running(now).isEmpty() ? 1 : MIN_HOLDERS);
         dispatcher.tick(now);
         scheduleCheck();
     }
@@ -189,7 +204,7 @@
     /** {@inheritDoc} */
     @Override
     public void decided(Ask ask, PlacementDecision decision) {
-        Consumer<PermitAnswer> answer = waiting.remove(key(ask.holder(), ask.permit()));
+        Consumer<PermitAnswer> answer = waiting.remove(DispatchCodec.run(ask.holder(), ask.permit()));
         if (answer != null) {
             answer.accept(toMessage(ask, decision));
         }
@@ -215,6 +230,12 @@
                         .subscribe());
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void quarantineChanged(QuarantineEntry entry) {
+        quarantineHandler.accept(entry);
+    }
+
     /** Handles a message of a client on another instance. */
     private Mono<Either<Failure, byte[]>> handle(InstanceId from, byte[] request) {
         PermitCall call;
@@ -236,6 +257,8 @@
                     holder,
                     call.getHeldList().stream().map(DispatchCodec::fromMessage).toList(),
                     now);
+            call.getCrashesList()
+                    .forEach(report -> dispatcher.crashed(DispatchCodec.fromMessage(holder, report, now), now));
         } else if (!dispatcher.hasReported(holder)) {
             sink.success(Either.right(PermitAnswer.newBuilder()
                     .setKind(PermitAnswer.Kind.RESYNC)
@@ -259,9 +282,4 @@
     private PermitAnswer toMessage(Ask ask, PlacementDecision decision) {
         return DispatchCodec.toMessage(decision, dispatcher.headroom(ask.service()));
     }
-
-    /** Returns the key of an ask in the map of those that wait. */
-    private static String key(String holder, long permit) {
-        return holder + "/" + permit;
-    }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -11,8 +11,11 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
-import org.jspecify.annotations.Nullable;
 import org.tanagermoor.gateway.fleet.TargetEntry;
+import org.tanagermoor.policy.prompt.Prompt;
+import org.tanagermoor.policy.quarantine.Crash;
+import org.tanagermoor.policy.quarantine.Quarantine;
+import org.tanagermoor.policy.quarantine.QuarantineEntry;
 
 /**
  * Decides which ask gets a place at which target. Engines admit requests in the order of arrival and without
@@ -58,9 +61,13 @@
 
     private final TeamRates rates;
 
-    private Dispatcher(Sink sink, TeamRates rates) {
+    /** Holds back parts of prompts that crash targets. */
+    private final PartGuard parts;
+
+    private Dispatcher(Sink sink, TeamRates rates, Quarantine quarantine) {
         this.sink = sink;
         this.rates = rates;
+        parts = new PartGuard(quarantine, sink::quarantineChanged);
     }
 
     /**
@@ -68,10 +75,11 @@
      *
      * @param sink Receives the decisions on queued asks, and the recalls.
      * @param rates The rate limits of the teams.
+     * @param quarantine The parts of prompts that are held back; changed by what is learnt of targets.
      * @return A dispatcher.
      */
-    public static Dispatcher of(Sink sink, TeamRates rates) {
-        return new Dispatcher(sink, rates);
+    public static Dispatcher of(Sink sink, TeamRates rates, Quarantine quarantine) {
+        return new Dispatcher(sink, rates, quarantine);
     }
 
     /**
@@ -139,6 +147,10 @@
             waiting.get().refresh(now);
             return Optional.empty();
         }
+        Optional<PlacementDecision> held = parts.refusal(ask, now);
+        if (held.isPresent()) {
+            return held;
+        }
         if (!ask.team().isEmpty()) {
             long millis = rates.take(ask.team(), now);
             if (millis > 0) {
@@ -172,14 +184,34 @@
         if (target != null) {
             target.release(place.batch, outcome, now);
             target.recordOutcome(place.domain, outcome, now);
-            if (!place.batch && outcome == PlaceOutcome.SERVED) {
+            if (!place.batch && outcome.success()) {
                 target.occupied(now - place.grantedAt);
                 queue.occupied(now - place.grantedAt);
             }
         }
+        parts.ended(place, outcome, now);
         drain(queue, now);
     }
 
+    /**
+     * Records a run that broke off when its target had just begun to answer, and holds a part of its prompt back if the
+     * evidence suffices.
+     *
+     * @param crash The run.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    public void crashed(Crash crash, long now) {
+        parts.crashed(crash, now);
+    }
+
+    /**
+     * Sets the number of instances whose requests must have been broken off before a part is held back, so that one
+     * instance with a bad link accuses nothing.
+     */
+    public void minHolders(int value) {
+        parts.minHolders(value);
+    }
+
     /**
      * Replaces the known permits of a holder by those that it reports. Permits granted recently are kept, since the
      * holder may not have received them yet.
@@ -251,6 +283,8 @@
     public void tick(long now) {
         for (ServiceQueue queue : services.values()) {
             queue.observe(now);
+            refuseHeldBack(queue.online(), now);
+            refuseHeldBack(queue.batch(), now);
             expire(queue, queue.online(), now);
             expire(queue, queue.batch(), now);
             drain(queue, now);
@@ -332,12 +366,16 @@
     private void drain(ServiceQueue queue, long now) {
         while (!queue.online().isEmpty()) {
             ServiceQueue.Waiting next = queue.nextOnline(now);
+            if (refuseHeldBack(queue.online(), next, now)) {
+                continue;
+            }
             if (!serve(queue, queue.online(), next, now)) {
                 return;
             }
         }
         while (!batchPaused && !queue.batch().isEmpty()) {
-            if (!serve(queue, queue.batch(), queue.nextBatch(now), now)) {
+            ServiceQueue.Waiting next = queue.nextBatch(now);
+            if (!refuseHeldBack(queue.batch(), next, now) && !serve(queue, queue.batch(), next, now)) {
                 return;
             }
         }
@@ -354,6 +392,22 @@
         return true;
     }
 
+    /** Refuses the asks of a queue that have a part that is held back. */
+    private void refuseHeldBack(List<ServiceQueue.Waiting> waiting, long now) {
+        if (parts.anyHeldBack()) {
+            List.copyOf(waiting).forEach(next -> refuseHeldBack(waiting, next, now));
+        }
+    }
+
+    /** Refuses a queued ask if it has a part that is held back; returns whether it did. */
+    private boolean refuseHeldBack(List<ServiceQueue.Waiting> waiting, ServiceQueue.Waiting next, long now) {
+        Optional<PlacementDecision> held = parts.refusal(next.ask(), now);
+        if (held.isPresent() && waiting.remove(next)) {
+            sink.decided(next.ask(), held.get());
+        }
+        return held.isPresent();
+    }
+
     /** Refuses the asks of a queue that have waited too long. */
     private void expire(ServiceQueue queue, List<ServiceQueue.Waiting> waiting, long now) {
         Iterator<ServiceQueue.Waiting> iterator = waiting.iterator();
@@ -392,8 +446,10 @@
     private PlacementDecision grant(ServiceQueue queue, Ask ask, TargetPlaces place, long slack, long now) {
         place.take(ask.batch(), now);
         queue.remember(ask, place);
-        OccupiedPlace permit =
-                new OccupiedPlace(ask.permit(), ask.service(), place.entry().id(), ask.batch(), slack, ask.work());
+        parts.granted(ask, now);
+        OccupiedPlace permit = new OccupiedPlace(
+                        ask.permit(), ask.service(), place.entry().id(), ask.batch(), slack, ask.work())
+                .withRun(ask.prompt(), 0);
         occupied.computeIfAbsent(ask.holder(), holder -> new HashMap<>())
                 .put(ask.permit(), new Grant(ask.holder(), permit, ask.domain(), now));
         return new PlacementDecision.Granted(place.entry().id());
@@ -433,6 +489,9 @@
 
         /** Called to ask the holder of a permit of an item of a job to return it. */
         void recall(String holder, long permit);
+
+        /** Called with the new record of a part that is held back, tried or released. */
+        void quarantineChanged(QuarantineEntry entry);
     }
 
     /**
@@ -445,73 +504,27 @@
      * @param slackNanos How much longer the request could have waited and still been on time, in nanoseconds; below
      *     0 if it is late.
      * @param work The remaining work of an item of a job.
+     * @param prompt The parts of the prompt; {@link Prompt#NONE} if they are unknown.
+     * @param heldNanos The time since the place was granted, in nanoseconds.
      */
     public record OccupiedPlace(
-            long permit, String service, String target, boolean batch, long slackNanos, Work work) {}
-
-    /** A granted place that is in use. */
-    private static final class Grant {
-
-        private final String holder;
-
-        private final long permit;
-
-        private final String service;
-
-        /** The identity of the target. */
-        private final String target;
-
-        /** Whether an item of a job uses the place. */
-        private final boolean batch;
-
-        /** The failure domain of the holder; empty if it is unknown. */
-        private final String domain;
-
-        /**
-         * How much longer the request could have waited and still been on time, in nanoseconds; below 0 if it is late.
-         */
-        private final long slack;
-
-        /** The remaining work at the time of the grant. */
-        private final Work work;
-
-        /** The monotonic time of the grant in nanoseconds. */
-        private final long grantedAt;
-
-        Grant(String holder, OccupiedPlace place, String domain, long grantedAt) {
-            this.holder = holder;
-            this.domain = domain;
-            slack = place.slackNanos();
-            work = place.work();
-            permit = place.permit();
-            service = place.service();
-            target = place.target();
-            batch = place.batch();
-            this.grantedAt = grantedAt;
-        }
-
-        /**
-         * Returns whether a recall costs the caller of this item less than a recall of the other item costs its caller.
-         */
-        private boolean cheaperToRecall(Grant other, double headroom, long now) {
-            double benefit = work.after(now - grantedAt).benefit(slack, headroom);
-            double otherBenefit = other.work.after(now - other.grantedAt).benefit(other.slack, headroom);
-            if (benefit != otherBenefit) {
-                return benefit < otherBenefit;
-            }
-            return slack == other.slack ? grantedAt - other.grantedAt > 0 : slack > other.slack;
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public boolean equals(@Nullable Object other) {
-            return this == other;
+            long permit,
+            String service,
+            String target,
+            boolean batch,
+            long slackNanos,
+            Work work,
+            Prompt prompt,
+            long heldNanos) {
+
+        /** Creates a place that has just been granted to a request whose prompt is unknown. */
+        public OccupiedPlace(long permit, String service, String target, boolean batch, long slackNanos, Work work) {
+            this(permit, service, target, batch, slackNanos, work, Prompt.NONE, 0);
         }
 
-        /** {@inheritDoc} */
-        @Override
-        public int hashCode() {
-            return System.identityHashCode(this);
+        /** Returns this place with the prompt of the request, and the nanoseconds since it was granted. */
+        public OccupiedPlace withRun(Prompt value, long nanos) {
+            return new OccupiedPlace(permit, service, target, batch, slackNanos, work, value, nanos);
         }
     }
 }
--- /dev/null
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
@@ -0,0 +1,90 @@
+package org.tanagermoor.gateway.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.tanagermoor.policy.quarantine.Crash;
+import org.tanagermoor.policy.quarantine.CrashEvidence;
+import org.tanagermoor.policy.quarantine.Quarantine;
+import org.tanagermoor.policy.quarantine.QuarantineDecision;
+import org.tanagermoor.policy.quarantine.QuarantineEntry;
+
+/**
+ * Keeps requests with a part that crashes targets away from them. Learns the part from the ends of the runs of all
+ * instances, which the dispatcher sees. Not thread-safe.
+ */
+final class PartGuard {
+
+    private final CrashEvidence evidence = CrashEvidence.of();
+
+    private final Quarantine quarantine;
+
+    /** Receives the new records of parts. */
+    private final Consumer<QuarantineEntry> onChange;
+
+    /** The number of instances whose requests must have been broken off before a part is held back. */
+    private int minHolders = 1;
+
+    PartGuard(Quarantine quarantine, Consumer<QuarantineEntry> onChange) {
+        this.quarantine = quarantine;
+        this.onChange = onChange;
+    }
+
+    void minHolders(int value) {
+        minHolders = value;
+    }
+
+    /** Returns whether any part is or was held back. */
+    boolean anyHeldBack() {
+        return !quarantine.isEmpty();
+    }
+
+    /** Returns the refusal of an ask that has a part that is held back; empty if it may be granted a place. */
+    Optional<PlacementDecision> refusal(Ask ask, long now) {
+        return switch (quarantine.decide(ask.prompt(), now)) {
+            case QuarantineDecision.Refused refused ->
+                Optional.of(new PlacementDecision.Refused(
+                        PlacementDecision.Reason.QUARANTINED,
+                        Math.max(1, TimeUnit.NANOSECONDS.toMillis(refused.remainingNanos())),
+                        refused.detail()));
+            case QuarantineDecision.TrialDue due -> Optional.empty();
+            case QuarantineDecision.Admitted admitted -> Optional.empty();
+        };
+    }
+
+    /** Records that an ask is granted a place, which is a trial if a part of its prompt is held back. */
+    void granted(Ask ask, long now) {
+        quarantine.beginTrial(ask.prompt(), now).forEach(onChange);
+    }
+
+    /** Records how the use of a place ended. */
+    void ended(Grant grant, PlaceOutcome outcome, long now) {
+        if (outcome == PlaceOutcome.SERVED) {
+            List<String> parts = grant.prompt.shared();
+            evidence.answered(grant.target, parts, now);
+            quarantine.answered(parts, grant.sentAt, now).forEach(onChange);
+            accuse(now);
+        } else if (outcome == PlaceOutcome.CRASHED) {
+            String run = DispatchCodec.run(grant.holder, grant.permit);
+            crashed(new Crash(run, grant.holder, grant.target, grant.prompt, grant.sentAt, now), now);
+        }
+    }
+
+    /** Records a run that broke off when its target had just begun to answer it. */
+    void crashed(Crash crash, long now) {
+        evidence.crashed(crash, quarantine::holds);
+        accuse(now);
+    }
+
+    /** Holds back the parts that the evidence accuses. */
+    private void accuse(long now) {
+        for (Optional<CrashEvidence.Accusation> accusation = evidence.accusation(minHolders, now);
+                accusation.isPresent();
+                accusation = evidence.accusation(minHolders, now)) {
+            evidence.explain(accusation.get());
+            onChange.accept(
+                    quarantine.hold(accusation.get().part(), accusation.get().evidence(), now));
+        }
+    }
+}
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PlaceOutcome.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PlaceOutcome.java
@@ -6,7 +6,7 @@
     /** No request was sent to the target. */
     UNUSED,
 
-    /** The target answered. */
+    /** The answer was received to its end. */
     SERVED,
 
     /** The target could not be reached. */
@@ -16,5 +16,36 @@
     FULL,
 
     /** The exchange broke off after the request was sent. */
-    FAILED
+    FAILED,
+
+    /** The connection ended when the target had just begun to answer, as if the target had crashed. */
+    CRASHED,
+
+    /** This side ended the exchange before its answer was complete, for no fault of the target. */
+    ABANDONED;
+
+    /**
+     * The maximum number of events after which a run may be the cause of its target's crash: an engine that cannot bear
+     * a prompt crashes when it reads it or makes the first event.
+     */
+    private static final int MAX_CRASH_EVENTS = 1;
+
+    /**
+     * Returns the outcome of a run whose connection ended before its answer was complete.
+     *
+     * @param events The number of events that the target sent in this run.
+     */
+    public static PlaceOutcome ofEarlyEnd(long events) {
+        return events <= MAX_CRASH_EVENTS ? CRASHED : FAILED;
+    }
+
+    /** Returns whether the target treated the request as it should. */
+    boolean success() {
+        return this == SERVED || this == ABANDONED;
+    }
+
+    /** Returns whether the target failed the request after it may have started to run it. */
+    boolean failure() {
+        return this == FAILED || this == CRASHED;
+    }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PlacementDecision.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PlacementDecision.java
@@ -15,8 +15,15 @@
      *
      * @param reason Why it is refused.
      * @param retryAfterMillis The time after which a new ask may succeed, in milliseconds.
+     * @param detail More about the reason, for people; may be empty.
      */
-    record Refused(Reason reason, long retryAfterMillis) implements PlacementDecision {}
+    record Refused(Reason reason, long retryAfterMillis, String detail) implements PlacementDecision {
+
+        /** Creates a refusal whose reason says all. */
+        public Refused(Reason reason, long retryAfterMillis) {
+            this(reason, retryAfterMillis, "");
+        }
+    }
 
     /** Why an ask is refused. */
     enum Reason {
@@ -28,6 +35,9 @@
         OVERLOADED,
 
         /** The service has no usable target. */
-        NO_TARGET
+        NO_TARGET,
+
+        /** A part of the prompt is held back, because it crashes targets. */
+        QUARANTINED
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
@@ -165,8 +165,8 @@
 
     /** Records how a request of an instance in a failure domain ended. */
     void recordOutcome(String domain, PlaceOutcome outcome, long now) {
-        if (outcome == PlaceOutcome.SERVED || outcome == PlaceOutcome.FAILED) {
-            boolean success = outcome == PlaceOutcome.SERVED;
+        if (outcome.success() || outcome.failure()) {
+            boolean success = outcome.success();
             record.recordOutcome(success, now);
             recordsByDomain
                     .computeIfAbsent(domain, name -> new TargetRecord(now))
@@ -178,10 +178,10 @@
     void release(boolean forBatch, PlaceOutcome outcome, long now) {
         count(forBatch, -1);
         switch (outcome) {
-            case SERVED -> failures = 0;
+            case SERVED, ABANDONED -> failures = 0;
             case FULL -> avoidUntil = Math.max(avoidUntil, now + FULL_AVOID_NANOS);
             case UNREACHABLE -> avoid(now);
-            case FAILED -> {
+            case FAILED, CRASHED -> {
                 if (failures + 1 >= BROKEN_THRESHOLD) {
                     avoid(now);
                 } else {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/CallContext.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/CallContext.java
@@ -5,6 +5,7 @@
 import org.tanagermoor.gateway.GatewayMetrics;
 import org.tanagermoor.gateway.dispatch.DispatchClient;
 import org.tanagermoor.gateway.forward.TargetConnections;
+import org.tanagermoor.gateway.quarantine.PartQuarantine;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.time.TimeSource;
 
@@ -20,6 +21,7 @@
  * @param metrics The metrics of the gateway.
  * @param time The source of the current time.
  * @param deadlines The deadlines that callers of each route have sent.
+ * @param quarantine The parts of prompts that are held back.
  * @param domain The failure domain of this instance.
  */
 public record CallContext(
@@ -32,4 +34,5 @@
         GatewayMetrics metrics,
         TimeSource time,
         CallerDeadlines deadlines,
+        PartQuarantine quarantine,
         String domain) {}
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -22,6 +23,7 @@
 import org.tanagermoor.gateway.forward.TargetRequest;
 import org.tanagermoor.kernel.failure.Execution;
 import org.tanagermoor.kernel.failure.Failure;
+import org.tanagermoor.policy.quarantine.QuarantineDecision;
 
 /**
  * An online request, from its admission to the end of its answer. It runs at one target at a time. It is sent to
@@ -152,6 +154,11 @@
             refuse(new Refusal(Refusal.Kind.UNAVAILABLE, 0, "the deadline is too close"));
             return;
         }
+        Optional<QuarantineDecision.Refused> held = context.quarantine().refusal(head.prompt(), now);
+        if (held.isPresent()) {
+            refuse(Refusal.ofQuarantine(held.get()));
+            return;
+        }
         permit = context.dispatch().nextPermit();
         long onTime = arrivedAt
                 + TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMillis())
@@ -162,18 +169,19 @@
         context.dispatch()
                 .ask(
                         new Ask(
-                                context.dispatch().self(),
-                                permit,
-                                service,
-                                charge,
-                                context.domain(),
-                                head.promptKey(),
-                                left,
-                                onTime,
-                                Work.NONE,
-                                false,
-                                retrying,
-                                context.fleet().withLeaving(excluded)),
+                                        context.dispatch().self(),
+                                        permit,
+                                        service,
+                                        charge,
+                                        context.domain(),
+                                        head.promptKey(),
+                                        left,
+                                        onTime,
+                                        Work.NONE,
+                                        false,
+                                        retrying,
+                                        context.fleet().withLeaving(excluded))
+                                .withPrompt(head.prompt()),
                         this::decided);
     }
 
@@ -182,7 +190,7 @@
     public void left() {
         if (!ended) {
             log.callerLeft(targetId(), exchange != null);
-            finish(exchange == null ? PlaceOutcome.UNUSED : PlaceOutcome.SERVED);
+            finish(exchange == null ? PlaceOutcome.UNUSED : PlaceOutcome.ABANDONED);
         }
     }
 
@@ -206,8 +214,9 @@
                 Refusal.Kind kind = refused.reason() == PlacementDecision.Reason.RATE_LIMITED
                         ? Refusal.Kind.RATE_LIMITED
                         : Refusal.Kind.UNAVAILABLE;
+                String detail = refused.detail().isEmpty() ? "" : ": " + refused.detail();
                 refuse(new Refusal(
-                        kind, refused.retryAfterMillis(), refused.reason().name()));
+                        kind, refused.retryAfterMillis(), refused.reason().name() + detail));
             }
         }
     }
@@ -314,7 +323,7 @@
         }
         if (frames != null && brokenOff(frames)) {
             exchange = null;
-            retryOrFail("the stream ended inside an event or before the first one");
+            retryOrFail("the stream ended inside an event or before the first one", endedOutcome());
             return;
         }
         if (frames != null && frames.remainder().length > 0) {
@@ -341,7 +350,8 @@
         if (failure.execution() == Execution.NOT_RUN) {
             retryNotRun(failure.detail(), PlaceOutcome.UNREACHABLE);
         } else {
-            retryOrFail(failure.detail());
+            boolean connectionEnded = failure.kind() == Failure.Kind.UNAVAILABLE;
+            retryOrFail(failure.detail(), connectionEnded ? endedOutcome() : PlaceOutcome.FAILED);
         }
     }
 
@@ -374,10 +384,14 @@
 
     /** Tries another target after one that may have run the request if that is allowed, or else ends the call. */
     private void retryOrFail(String detail) {
+        retryOrFail(detail, PlaceOutcome.FAILED);
+    }
+
+    private void retryOrFail(String detail, PlaceOutcome outcome) {
         recordFailure(detail, true);
         excluded.add(targetId());
         stopExchange();
-        returnPermit(PlaceOutcome.FAILED);
+        returnPermit(outcome);
         boolean mayRunAgain = mayRepeat() && (!headSent || (frames != null && route.resumable()));
         if (mayRunAgain) {
             start();
@@ -389,6 +403,11 @@
         }
     }
 
+    /** Returns the outcome of a run whose connection has ended too early. */
+    private PlaceOutcome endedOutcome() {
+        return PlaceOutcome.ofEarlyEnd(lastEvent - startEvent);
+    }
+
     /** Returns whether the route, its attempts and the deadline allow another run. */
     private boolean mayRepeat() {
         return route.repeatable()
@@ -403,7 +422,7 @@
         boolean sent = attempts > 0;
         if (headSent) {
             recordFailure("the deadline passed", true);
-            finish(PlaceOutcome.SERVED);
+            finish(PlaceOutcome.ABANDONED);
             responder.abort();
         } else if (sent) {
             refuse(Refusal.of(Refusal.Kind.TIMEOUT, "no answer came in time"));
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/Refusal.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/Refusal.java
@@ -1,5 +1,8 @@
 package org.tanagermoor.gateway.edge;
 
+import java.util.concurrent.TimeUnit;
+import org.tanagermoor.policy.quarantine.QuarantineDecision;
+
 /**
  * An error answer that this instance itself gives, rather than a target.
  *
@@ -14,6 +17,14 @@
         return new Refusal(kind, 0, detail);
     }
 
+    /** Returns the refusal of a request for a part of its prompt that is held back; the request has not run. */
+    static Refusal ofQuarantine(QuarantineDecision.Refused refused) {
+        return new Refusal(
+                Kind.UNAVAILABLE,
+                Math.max(1, TimeUnit.NANOSECONDS.toMillis(refused.remainingNanos())),
+                "QUARANTINED: " + refused.detail());
+    }
+
     /** The reasons for a refusal. */
     public enum Kind {
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.tanagermoor.gateway.fleet.TargetEntry;
@@ -126,13 +127,13 @@
         skippedBytes = 0;
         if (context == null) {
             ReferenceCountUtil.release(request);
-            fail("not connected", false);
+            fail(Failure.Kind.UNAVAILABLE, "not connected", false);
             return;
         }
         requestWrite = context.writeAndFlush(request);
         requestWrite.addListener(done -> {
             if (!done.isSuccess()) {
-                close("the request could not be written");
+                close(Failure.Kind.UNAVAILABLE, "the request could not be written");
             }
         });
     }
@@ -171,25 +172,28 @@
     /** {@inheritDoc} */
     @Override
     public void channelInactive(ChannelHandlerContext value) {
-        fail("the connection was closed", true);
+        fail(Failure.Kind.UNAVAILABLE, "the connection was closed", true);
     }
 
     /** {@inheritDoc} */
     @Override
     public void exceptionCaught(ChannelHandlerContext value, Throwable cause) {
         connectionFailed = true;
-        close("the connection failed: " + cause.getClass().getSimpleName());
+        boolean ended = cause instanceof IOException;
+        close(
+                ended ? Failure.Kind.UNAVAILABLE : Failure.Kind.CORRUPT,
+                "the connection failed: " + cause.getClass().getSimpleName());
     }
 
     /** Handles a part of an answer. */
     private void read(HttpObject message) {
         if (message.decoderResult().isFailure()) {
             connectionFailed = true;
-            close("the bytes are no answer");
+            close(Failure.Kind.CORRUPT, "the bytes are no answer");
             return;
         }
         if (listener == null) {
-            close("the target sent an answer without a request");
+            close(Failure.Kind.CORRUPT, "the target sent an answer without a request");
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -219,7 +223,7 @@
             return;
         }
         if (anonymous) {
-            close("the answer does not name its request");
+            close(Failure.Kind.CORRUPT, "the answer does not name its request");
             return;
         }
         skipping = false;
@@ -237,7 +241,7 @@
     private void countSkipped(long bytes) {
         skippedBytes += bytes;
         if (skippedBytes > MAX_SKIPPED_BYTES) {
-            close("too many bytes that belong to no request");
+            close(Failure.Kind.CORRUPT, "too many bytes that belong to no request");
         }
     }
 
@@ -278,22 +282,22 @@
     }
 
     /** Closes the connection, and fails the current exchange as possibly run. */
-    private void close(String detail) {
+    private void close(Failure.Kind kind, String detail) {
         if (context != null) {
             context.close();
         }
-        fail(detail, true);
+        fail(kind, detail, true);
     }
 
     /** Fails the current exchange, if there is one. The request may have run only if it was sent. */
-    private void fail(String detail, boolean sent) {
+    private void fail(Failure.Kind kind, String detail, boolean sent) {
         TargetListener receiver = listener;
         listener = null;
         if (receiver != null) {
             receiver.failed(
                     sent
-                            ? Failure.unknown(Failure.Kind.UNAVAILABLE, STEP, target.id(), detail)
-                            : Failure.notRun(Failure.Kind.UNAVAILABLE, STEP, target.id(), detail));
+                            ? Failure.unknown(kind, STEP, target.id(), detail)
+                            : Failure.notRun(kind, STEP, target.id(), detail));
         }
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetListener.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetListener.java
@@ -24,7 +24,8 @@
     /**
      * Called when the exchange has failed. No further calls follow.
      *
-     * @param failure The failure; its execution says whether the target may have run the request.
+     * @param failure The failure; its execution says whether the target may have run the request, and its kind is
+     *     {@link Failure.Kind#UNAVAILABLE} if the connection has ended.
      */
     void failed(Failure failure);
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -30,6 +30,7 @@
 import org.tanagermoor.kernel.failure.Execution;
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.policy.prompt.Prompt;
+import org.tanagermoor.policy.quarantine.QuarantineDecision;
 
 /**
  * Runs an item of a job, which this instance owns, until the item has a result. For each run it asks the dispatcher for
@@ -50,6 +51,9 @@
     /** Delay before an item runs again after a failure, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 200;
 
+    /** Maximum time after which an item whose prompt is held back checks whether it still is, in milliseconds. */
+    private static final long MAX_HOLD_MILLIS = 5_000;
+
     /** Maximum time for which one ask waits for a place, in nanoseconds; the item asks again afterwards. */
     private static final long MAX_WAIT_NANOS = TimeUnit.SECONDS.toNanos(10);
 
@@ -112,6 +116,9 @@
     /** Monotonic time at which the head or a new event was last received from the target, in nanoseconds. */
     private long lastReceivedAt;
 
+    /** Whether the item waits because a part of its prompt is held back. */
+    private boolean heldBack;
+
     /** Monotonic time at which the current run started, in nanoseconds. */
     private long startedAt;
 
@@ -195,6 +202,14 @@
      * @param dueNanos The time until the job is due, in nanoseconds.
      */
     void ask(Route route, long dueNanos) {
+        Optional<QuarantineDecision.Refused> held =
+                context.quarantine().refusal(prompt, context.time().nanos());
+        if (held.isPresent()) {
+            holdBack(
+                    held.get().detail(),
+                    TimeUnit.NANOSECONDS.toMillis(held.get().remainingNanos()));
+            return;
+        }
         state = State.ASKING;
         log.enter(ItemLog.Phase.WAITING, context.time().nanos());
         permit = context.dispatch().nextPermit();
@@ -204,18 +219,19 @@
         context.dispatch()
                 .ask(
                         new Ask(
-                                context.dispatch().self(),
-                                permit,
-                                route.service(0),
-                                "",
-                                context.domain(),
-                                0,
-                                MAX_WAIT_NANOS,
-                                dueNanos - work.nanos(),
-                                work,
-                                true,
-                                false,
-                                context.fleet().withLeaving(excluded)),
+                                        context.dispatch().self(),
+                                        permit,
+                                        route.service(0),
+                                        "",
+                                        context.domain(),
+                                        0,
+                                        MAX_WAIT_NANOS,
+                                        dueNanos - work.nanos(),
+                                        work,
+                                        true,
+                                        false,
+                                        context.fleet().withLeaving(excluded))
+                                .withPrompt(prompt),
                         decision -> onDecision(askedPermit, decision));
     }
 
@@ -257,11 +273,30 @@
                 context.runs().remove(permit);
                 permit = 0;
                 excluded.clear();
-                pause(Math.max(RETRY_DELAY_MILLIS, refused.retryAfterMillis()));
+                if (refused.reason() == PlacementDecision.Reason.QUARANTINED) {
+                    holdBack(refused.detail(), refused.retryAfterMillis());
+                } else {
+                    pause(Math.max(RETRY_DELAY_MILLIS, refused.retryAfterMillis()));
+                }
             }
         }
     }
 
+    /**
+     * Lets the item wait, because a part of its prompt is held back.
+     *
+     * @param detail The part and the evidence against it.
+     * @param millis The time until a request with the part may be let through, in milliseconds.
+     */
+    private void holdBack(String detail, long millis) {
+        if (!heldBack) {
+            heldBack = true;
+            context.events()
+                    .record(GatewayEvent.ITEM_HELD_BACK, "request", item.getId(), "job", job.id(), "detail", detail);
+        }
+        pause(Math.min(MAX_HOLD_MILLIS, Math.max(RETRY_DELAY_MILLIS, millis)));
+    }
+
     /** Runs the item at the target with the given identity. */
     private void run(String id) {
         TargetEntry entry = context.fleet().usableTarget(id).orElse(null);
@@ -270,6 +305,7 @@
             return;
         }
         state = State.RUNNING;
+        heldBack = false;
         startedAt = context.time().nanos();
         startEvent = lastEvent;
         lastReceivedAt = startedAt;
@@ -309,14 +345,14 @@
             stopExchange();
             retry(PlaceOutcome.FULL, RETRY_DELAY_MILLIS);
         } else if (status == UNPROCESSABLE_STATUS) {
-            abandon("the target says that the item can never be done");
+            abandon("the target says that the item can never be done", PlaceOutcome.SERVED);
         } else if (status != OK_STATUS) {
             failures += status == FAILED_STATUS ? 1 : 0;
             recordFailedRun("the target answered " + status + ", failures " + failures);
             excluded.add(targetId());
             stopExchange();
             if (failures >= job.attempts()) {
-                abandon("the item failed in " + failures + " runs");
+                abandon("the item failed in " + failures + " runs", PlaceOutcome.SERVED);
             } else {
                 retry(PlaceOutcome.SERVED, RETRY_DELAY_MILLIS);
             }
@@ -359,7 +395,7 @@
         if (lastEvent == 0 || frames.insideEvent()) {
             recordFailedRun("the answer ended inside an event");
             excluded.add(targetId());
-            retry(PlaceOutcome.FAILED, RETRY_DELAY_MILLIS);
+            retry(PlaceOutcome.ofEarlyEnd(lastEvent - startEvent), RETRY_DELAY_MILLIS);
             return;
         }
         context.pace().recordEnd(lastEvent);
@@ -375,19 +411,29 @@
         exchange = null;
         recordFailedRun(failure.detail());
         excluded.add(targetId());
-        boolean mayHaveRun = failure.execution() != Execution.NOT_RUN;
-        retry(mayHaveRun ? PlaceOutcome.FAILED : PlaceOutcome.UNREACHABLE, mayHaveRun ? RETRY_DELAY_MILLIS : 0);
+        if (failure.execution() == Execution.NOT_RUN) {
+            retry(PlaceOutcome.UNREACHABLE, 0);
+        } else {
+            boolean connectionEnded = failure.kind() == Failure.Kind.UNAVAILABLE;
+            retry(
+                    connectionEnded ? PlaceOutcome.ofEarlyEnd(lastEvent - startEvent) : PlaceOutcome.FAILED,
+                    RETRY_DELAY_MILLIS);
+        }
     }
 
-    /** Ends the item without completing it, and reports a result without output. */
+    /** Ends the item, whose time is over, without completing it, and reports a result without output. */
     void abandon(String reason) {
+        abandon(reason, PlaceOutcome.ABANDONED);
+    }
+
+    private void abandon(String reason, PlaceOutcome outcome) {
         if (state == State.DONE) {
             return;
         }
         context.events()
                 .record(GatewayEvent.ITEM_ABANDONED, "request", item.getId(), "job", job.id(), "reason", reason);
         stopExchange();
-        finish(new JobResult(item.getId(), false, ""), PlaceOutcome.SERVED);
+        finish(new JobResult(item.getId(), false, ""), outcome);
     }
 
     /** Ends the item with a result, and reports it to the job. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobContext.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobContext.java
@@ -7,6 +7,7 @@
 import org.tanagermoor.gateway.GatewayMetrics;
 import org.tanagermoor.gateway.dispatch.DispatchClient;
 import org.tanagermoor.gateway.forward.TargetConnections;
+import org.tanagermoor.gateway.quarantine.PartQuarantine;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.time.TimeSource;
 
@@ -21,6 +22,7 @@
  * @param events The event log.
  * @param metrics The metrics of the gateway.
  * @param time The source of the current time.
+ * @param quarantine The parts of prompts that are held back.
  * @param domain The failure domain of this instance.
  * @param runs The items that wait for a place or have one, by permit.
  * @param pace Estimates how long items run.
@@ -35,6 +37,7 @@
         EventLog events,
         GatewayMetrics metrics,
         TimeSource time,
+        PartQuarantine quarantine,
         String domain,
         Map<Long, ItemRun> runs,
         ItemPace pace,
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Gossip.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Gossip.java
@@ -23,6 +23,7 @@
 import org.tanagermoor.gateway.proto.TableMark;
 import org.tanagermoor.gateway.proto.TablePull;
 import org.tanagermoor.gateway.proto.TableRow;
+import org.tanagermoor.gateway.quarantine.PartQuarantine;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.kernel.setting.Address;
@@ -78,6 +79,9 @@
     /** The addresses from the settings, which may be outdated. */
     private final List<Address> seeds;
 
+    /** The parts of prompts that are held back, passed on with the heartbeats. */
+    private final PartQuarantine quarantine;
+
     private final EventLog events;
 
     private final TimeSource time;
@@ -102,12 +106,14 @@
             Liveness liveness,
             List<TableFollower> followers,
             List<Address> seeds,
+            PartQuarantine quarantine,
             EventLog events,
             TimeSource time) {
         this.loop = loop;
         this.link = link;
         this.liveness = liveness;
         this.seeds = seeds;
+        this.quarantine = quarantine;
         this.events = events;
         this.time = time;
         followers.forEach(follower -> tables.put(follower.table().name(), follower));
@@ -121,6 +127,7 @@
      * @param liveness Tells which instances run; updated with the heartbeats received.
      * @param followers The followed tables.
      * @param seeds The addresses from the settings, which may be outdated.
+     * @param quarantine The parts of prompts that are held back, passed on with the heartbeats.
      * @param events The log.
      * @param time The source of the current time.
      * @return A gossip.
@@ -131,9 +138,10 @@
             Liveness liveness,
             List<TableFollower> followers,
             List<Address> seeds,
+            PartQuarantine quarantine,
             EventLog events,
             TimeSource time) {
-        Gossip gossip = new Gossip(loop, link, liveness, followers, seeds, events, time);
+        Gossip gossip = new Gossip(loop, link, liveness, followers, seeds, quarantine, events, time);
         link.handle(Channel.SIGNS, (from, request) -> gossip.onLoop(() -> gossip.answerHeartbeats(request)));
         link.handle(Channel.TABLES, (from, request) -> gossip.onLoop(() -> gossip.answerPull(request)));
         return gossip;
@@ -255,7 +263,7 @@
         tables.forEach((name, follower) -> heartbeats.addTables(TableMark.newBuilder()
                 .setTable(name)
                 .setRevision(follower.table().revision())));
-        return heartbeats.build();
+        return heartbeats.addAllParts(quarantine.messages()).build();
     }
 
     /** Answers the heartbeats of another instance with those of this one. */
@@ -280,6 +288,7 @@
     /** Passes heartbeats to {@link Liveness}, and notes whether any names an unknown incarnation. */
     private void observe(Signs heartbeats) {
         long now = time.nanos();
+        quarantine.merge(heartbeats.getPartsList());
         heartbeats
                 .getMembersList()
                 .forEach(message ->
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
@@ -41,6 +41,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tanagermoor_gateway_Signs_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagermoor_gateway_QuarantinedPart_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagermoor_gateway_QuarantinedPart_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_tanagermoor_gateway_TablePull_descriptor;
   static final 
@@ -86,6 +91,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tanagermoor_gateway_HeldPermit_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagermoor_gateway_CrashReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagermoor_gateway_CrashReport_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_tanagermoor_gateway_PermitAnswer_descriptor;
   static final 
@@ -147,62 +157,76 @@
       "is\030\006 \001(\r\022\020\n\010stopping\030\007 \001(\010\022\026\n\016started_mi" +
       "llis\030\010 \001(\004\022\031\n\021processor_percent\030\t \001(\r\",\n" +
       "\tTableMark\022\r\n\005table\030\001 \001(\t\022\020\n\010revision\030\002 " +
-      "\001(\004\"\250\001\n\005Signs\0220\n\007members\030\001 \003(\0132\037.tanager" +
+      "\001(\004\"\335\001\n\005Signs\0220\n\007members\030\001 \003(\0132\037.tanager" +
       "moor.gateway.MemberSign\022.\n\006tables\030\002 \003(\0132" +
       "\036.tanagermoor.gateway.TableMark\022\024\n\014incar" +
       "nations\030\003 \003(\006\022\023\n\013ages_millis\030\004 \003(\r\022\022\n\nin" +
-      "complete\030\005 \001(\010\",\n\tTablePull\022\r\n\005table\030\001 \001" +
-      "(\t\022\020\n\010revision\030\002 \001(\004\"7\n\010TableRow\022\013\n\003key\030" +
-      "\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\r\n\005value\030\003 \001(\014\"Y\n" +
-      "\tTableCopy\022\r\n\005table\030\001 \001(\t\022\020\n\010revision\030\002 " +
-      "\001(\004\022+\n\004rows\030\003 \003(\0132\035.tanagermoor.gateway." +
-      "TableRow\"\341\001\n\nPermitCall\022+\n\003ask\030\001 \001(\0132\036.t" +
-      "anagermoor.gateway.PermitAsk\0222\n\007returns\030" +
-      "\002 \003(\0132!.tanagermoor.gateway.PermitReturn" +
-      "\022\016\n\006resync\030\003 \001(\010\022-\n\004held\030\004 \003(\0132\037.tanager" +
-      "moor.gateway.HeldPermit\0223\n\007leaving\030\005 \003(\013" +
-      "2\".tanagermoor.gateway.LeavingTarget\"3\n\r" +
-      "LeavingTarget\022\n\n\002id\030\001 \001(\t\022\026\n\016started_mil" +
-      "lis\030\002 \001(\004\"\356\001\n\tPermitAsk\022\016\n\006permit\030\001 \001(\004\022" +
-      "\017\n\007service\030\002 \001(\t\022\014\n\004team\030\003 \001(\t\022\016\n\006domain" +
-      "\030\004 \001(\t\022\022\n\nprompt_key\030\005 \001(\006\022\023\n\013wait_milli" +
-      "s\030\006 \001(\r\022\026\n\016on_time_millis\030\007 \001(\005\022\r\n\005batch" +
-      "\030\010 \001(\010\022\020\n\010excluded\030\t \003(\t\022\021\n\treturning\030\n " +
-      "\001(\010\022-\n\004work\030\013 \001(\0132\037.tanagermoor.gateway." +
-      "PermitWork\"3\n\nPermitWork\022\016\n\006millis\030\001 \001(\r" +
-      "\022\025\n\rdone_permille\030\002 \001(\r\"\244\001\n\014PermitReturn" +
-      "\022\016\n\006permit\030\001 \001(\004\022:\n\007outcome\030\002 \001(\0162).tana" +
-      "germoor.gateway.PermitReturn.Outcome\"H\n\007" +
-      "Outcome\022\n\n\006UNUSED\020\000\022\n\n\006SERVED\020\001\022\017\n\013UNREA" +
-      "CHABLE\020\002\022\010\n\004FULL\020\003\022\n\n\006FAILED\020\004\"\223\001\n\nHeldP" +
-      "ermit\022\016\n\006permit\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\016" +
-      "\n\006target\030\003 \001(\t\022\r\n\005batch\030\004 \001(\010\022\026\n\016on_time" +
-      "_millis\030\005 \001(\005\022-\n\004work\030\006 \001(\0132\037.tanagermoo" +
-      "r.gateway.PermitWork\"\343\001\n\014PermitAnswer\0224\n" +
-      "\004kind\030\001 \001(\0162&.tanagermoor.gateway.Permit" +
-      "Answer.Kind\022\016\n\006target\030\002 \001(\t\022\032\n\022retry_aft" +
-      "er_millis\030\003 \001(\r\022\025\n\rleft_permille\030\004 \001(\r\"Z" +
-      "\n\004Kind\022\010\n\004NONE\020\000\022\013\n\007GRANTED\020\001\022\020\n\014RATE_LI" +
-      "MITED\020\002\022\016\n\nOVERLOADED\020\003\022\r\n\tNO_TARGET\020\004\022\n" +
-      "\n\006RESYNC\020\005\"\037\n\014PermitRecall\022\017\n\007permits\030\001 " +
-      "\003(\004\")\n\nItemHeader\022\014\n\004name\030\001 \001(\t\022\r\n\005value" +
-      "\030\002 \001(\t\"*\n\013PromptParts\022\016\n\006shared\030\001 \003(\t\022\013\n" +
-      "\003own\030\002 \001(\t\"\245\001\n\007JobItem\022\n\n\002id\030\001 \001(\t\022\014\n\004pa" +
-      "th\030\002 \001(\t\0220\n\007headers\030\003 \003(\0132\037.tanagermoor." +
-      "gateway.ItemHeader\022\014\n\004body\030\004 \001(\014\022\016\n\006toke" +
-      "ns\030\005 \001(\004\0220\n\006prompt\030\006 \001(\0132 .tanagermoor.g" +
-      "ateway.PromptParts\"9\n\nJobContent\022+\n\005item" +
-      "s\030\001 \003(\0132\034.tanagermoor.gateway.JobItem\"\256\001" +
-      "\n\006JobRow\022\n\n\002id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004ho" +
-      "st\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022\027\n\017accepted_milli" +
-      "s\030\005 \001(\004\022\r\n\005total\030\006 \001(\r\022\020\n\010recorded\030\007 \001(\r" +
-      "\022\r\n\005ended\030\010 \001(\010\022\026\n\016tokens_waiting\030\t \001(\004\022" +
-      "\r\n\005owner\030\n \001(\t\"=\n\nResultPart\022\014\n\004item\030\001 \001" +
-      "(\t\022\021\n\tcompleted\030\002 \001(\010\022\016\n\006output\030\003 \001(\014\"R\n" +
-      "\014ItemProgress\022\014\n\004item\030\001 \001(\t\022\022\n\nlast_even" +
-      "t\030\002 \001(\004\022\016\n\006output\030\003 \001(\014\022\020\n\010failures\030\004 \001(" +
-      "\rB!\n\035org.tanagermoor.gateway.protoP\001b\006pr" +
-      "oto3"
+      "complete\030\005 \001(\010\0223\n\005parts\030\006 \003(\0132$.tanagerm" +
+      "oor.gateway.QuarantinedPart\"\223\001\n\017Quaranti" +
+      "nedPart\022\014\n\004part\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022" +
+      "\014\n\004held\030\003 \001(\010\022\016\n\006trials\030\004 \001(\r\022\030\n\020remaini" +
+      "ng_millis\030\005 \001(\022\022\020\n\010evidence\030\006 \001(\t\022\026\n\016wri" +
+      "tten_millis\030\007 \001(\004\",\n\tTablePull\022\r\n\005table\030" +
+      "\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"7\n\010TableRow\022\013\n\003k" +
+      "ey\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\r\n\005value\030\003 \001(\014" +
+      "\"Y\n\tTableCopy\022\r\n\005table\030\001 \001(\t\022\020\n\010revision" +
+      "\030\002 \001(\004\022+\n\004rows\030\003 \003(\0132\035.tanagermoor.gatew" +
+      "ay.TableRow\"\224\002\n\nPermitCall\022+\n\003ask\030\001 \001(\0132" +
+      "\036.tanagermoor.gateway.PermitAsk\0222\n\007retur" +
+      "ns\030\002 \003(\0132!.tanagermoor.gateway.PermitRet" +
+      "urn\022\016\n\006resync\030\003 \001(\010\022-\n\004held\030\004 \003(\0132\037.tana" +
+      "germoor.gateway.HeldPermit\0223\n\007leaving\030\005 " +
+      "\003(\0132\".tanagermoor.gateway.LeavingTarget\022" +
+      "1\n\007crashes\030\006 \003(\0132 .tanagermoor.gateway.C" +
+      "rashReport\"3\n\rLeavingTarget\022\n\n\002id\030\001 \001(\t\022" +
+      "\026\n\016started_millis\030\002 \001(\004\"\240\002\n\tPermitAsk\022\016\n" +
+      "\006permit\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\014\n\004team\030\003" +
+      " \001(\t\022\016\n\006domain\030\004 \001(\t\022\022\n\nprompt_key\030\005 \001(\006" +
+      "\022\023\n\013wait_millis\030\006 \001(\r\022\026\n\016on_time_millis\030" +
+      "\007 \001(\005\022\r\n\005batch\030\010 \001(\010\022\020\n\010excluded\030\t \003(\t\022\021" +
+      "\n\treturning\030\n \001(\010\022-\n\004work\030\013 \001(\0132\037.tanage" +
+      "rmoor.gateway.PermitWork\0220\n\006prompt\030\014 \001(\013" +
+      "2 .tanagermoor.gateway.PromptParts\"3\n\nPe" +
+      "rmitWork\022\016\n\006millis\030\001 \001(\r\022\025\n\rdone_permill" +
+      "e\030\002 \001(\r\"\300\001\n\014PermitReturn\022\016\n\006permit\030\001 \001(\004" +
+      "\022:\n\007outcome\030\002 \001(\0162).tanagermoor.gateway." +
+      "PermitReturn.Outcome\"d\n\007Outcome\022\n\n\006UNUSE" +
+      "D\020\000\022\n\n\006SERVED\020\001\022\017\n\013UNREACHABLE\020\002\022\010\n\004FULL" +
+      "\020\003\022\n\n\006FAILED\020\004\022\013\n\007CRASHED\020\005\022\r\n\tABANDONED" +
+      "\020\006\"\331\001\n\nHeldPermit\022\016\n\006permit\030\001 \001(\004\022\017\n\007ser" +
+      "vice\030\002 \001(\t\022\016\n\006target\030\003 \001(\t\022\r\n\005batch\030\004 \001(" +
+      "\010\022\026\n\016on_time_millis\030\005 \001(\005\022-\n\004work\030\006 \001(\0132" +
+      "\037.tanagermoor.gateway.PermitWork\0220\n\006prom" +
+      "pt\030\007 \001(\0132 .tanagermoor.gateway.PromptPar" +
+      "ts\022\022\n\nage_millis\030\010 \001(\r\"\222\001\n\013CrashReport\022\016" +
+      "\n\006permit\030\001 \001(\004\022\016\n\006target\030\002 \001(\t\0220\n\006prompt" +
+      "\030\003 \001(\0132 .tanagermoor.gateway.PromptParts" +
+      "\022\027\n\017sent_age_millis\030\004 \001(\r\022\030\n\020broke_age_m" +
+      "illis\030\005 \001(\r\"\204\002\n\014PermitAnswer\0224\n\004kind\030\001 \001" +
+      "(\0162&.tanagermoor.gateway.PermitAnswer.Ki" +
+      "nd\022\016\n\006target\030\002 \001(\t\022\032\n\022retry_after_millis" +
+      "\030\003 \001(\r\022\025\n\rleft_permille\030\004 \001(\r\022\016\n\006detail\030" +
+      "\005 \001(\t\"k\n\004Kind\022\010\n\004NONE\020\000\022\013\n\007GRANTED\020\001\022\020\n\014" +
+      "RATE_LIMITED\020\002\022\016\n\nOVERLOADED\020\003\022\r\n\tNO_TAR" +
+      "GET\020\004\022\n\n\006RESYNC\020\005\022\017\n\013QUARANTINED\020\006\"\037\n\014Pe" +
+      "rmitRecall\022\017\n\007permits\030\001 \003(\004\")\n\nItemHeade" +
+      "r\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"*\n\013Prompt" +
+      "Parts\022\016\n\006shared\030\001 \003(\t\022\013\n\003own\030\002 \001(\t\"\245\001\n\007J" +
+      "obItem\022\n\n\002id\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\0220\n\007head" +
+      "ers\030\003 \003(\0132\037.tanagermoor.gateway.ItemHead" +
+      "er\022\014\n\004body\030\004 \001(\014\022\016\n\006tokens\030\005 \001(\004\0220\n\006prom" +
+      "pt\030\006 \001(\0132 .tanagermoor.gateway.PromptPar" +
+      "ts\"9\n\nJobContent\022+\n\005items\030\001 \003(\0132\034.tanage" +
+      "rmoor.gateway.JobItem\"\256\001\n\006JobRow\022\n\n\002id\030\001" +
+      " \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004path" +
+      "\030\004 \001(\t\022\027\n\017accepted_millis\030\005 \001(\004\022\r\n\005total" +
+      "\030\006 \001(\r\022\020\n\010recorded\030\007 \001(\r\022\r\n\005ended\030\010 \001(\010\022" +
+      "\026\n\016tokens_waiting\030\t \001(\004\022\r\n\005owner\030\n \001(\t\"=" +
+      "\n\nResultPart\022\014\n\004item\030\001 \001(\t\022\021\n\tcompleted\030" +
+      "\002 \001(\010\022\016\n\006output\030\003 \001(\014\"R\n\014ItemProgress\022\014\n" +
+      "\004item\030\001 \001(\t\022\022\n\nlast_event\030\002 \001(\004\022\016\n\006outpu" +
+      "t\030\003 \001(\014\022\020\n\010failures\030\004 \001(\rB!\n\035org.tanager" +
+      "moor.gateway.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -225,111 +249,123 @@
     internal_static_tanagermoor_gateway_Signs_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_Signs_descriptor,
-        new java.lang.String[] { "Members", "Tables", "Incarnations", "AgesMillis", "Incomplete", });
-    internal_static_tanagermoor_gateway_TablePull_descriptor =
+        new java.lang.String[] { "Members", "Tables", "Incarnations", "AgesMillis", "Incomplete", "Parts", });
+    internal_static_tanagermoor_gateway_QuarantinedPart_descriptor =
       getDescriptor().getMessageType(3);
+    internal_static_tanagermoor_gateway_QuarantinedPart_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagermoor_gateway_QuarantinedPart_descriptor,
+        new java.lang.String[] { "Part", "Revision", "Held", "Trials", "RemainingMillis", "Evidence", "WrittenMillis", });
+    internal_static_tanagermoor_gateway_TablePull_descriptor =
+      getDescriptor().getMessageType(4);
     internal_static_tanagermoor_gateway_TablePull_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_TablePull_descriptor,
         new java.lang.String[] { "Table", "Revision", });
     internal_static_tanagermoor_gateway_TableRow_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_tanagermoor_gateway_TableRow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_TableRow_descriptor,
         new java.lang.String[] { "Key", "Version", "Value", });
     internal_static_tanagermoor_gateway_TableCopy_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_tanagermoor_gateway_TableCopy_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_TableCopy_descriptor,
         new java.lang.String[] { "Table", "Revision", "Rows", });
     internal_static_tanagermoor_gateway_PermitCall_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_tanagermoor_gateway_PermitCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitCall_descriptor,
-        new java.lang.String[] { "Ask", "Returns", "Resync", "Held", "Leaving", });
+        new java.lang.String[] { "Ask", "Returns", "Resync", "Held", "Leaving", "Crashes", });
     internal_static_tanagermoor_gateway_LeavingTarget_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_tanagermoor_gateway_LeavingTarget_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_LeavingTarget_descriptor,
         new java.lang.String[] { "Id", "StartedMillis", });
     internal_static_tanagermoor_gateway_PermitAsk_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_tanagermoor_gateway_PermitAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitAsk_descriptor,
-        new java.lang.String[] { "Permit", "Service", "Team", "Domain", "PromptKey", "WaitMillis", "OnTimeMillis", "Batch", "Excluded", "Returning", "Work", });
+        new java.lang.String[] { "Permit", "Service", "Team", "Domain", "PromptKey", "WaitMillis", "OnTimeMillis", "Batch", "Excluded", "Returning", "Work", "Prompt", });
     internal_static_tanagermoor_gateway_PermitWork_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_tanagermoor_gateway_PermitWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitWork_descriptor,
         new java.lang.String[] { "Millis", "DonePermille", });
     internal_static_tanagermoor_gateway_PermitReturn_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_tanagermoor_gateway_PermitReturn_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitReturn_descriptor,
         new java.lang.String[] { "Permit", "Outcome", });
     internal_static_tanagermoor_gateway_HeldPermit_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_tanagermoor_gateway_HeldPermit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_HeldPermit_descriptor,
-        new java.lang.String[] { "Permit", "Service", "Target", "Batch", "OnTimeMillis", "Work", });
+        new java.lang.String[] { "Permit", "Service", "Target", "Batch", "OnTimeMillis", "Work", "Prompt", "AgeMillis", });
+    internal_static_tanagermoor_gateway_CrashReport_descriptor =
+      getDescriptor().getMessageType(13);
+    internal_static_tanagermoor_gateway_CrashReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagermoor_gateway_CrashReport_descriptor,
+        new java.lang.String[] { "Permit", "Target", "Prompt", "SentAgeMillis", "BrokeAgeMillis", });
     internal_static_tanagermoor_gateway_PermitAnswer_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(14);
     internal_static_tanagermoor_gateway_PermitAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitAnswer_descriptor,
-        new java.lang.String[] { "Kind", "Target", "RetryAfterMillis", "LeftPermille", });
+        new java.lang.String[] { "Kind", "Target", "RetryAfterMillis", "LeftPermille", "Detail", });
     internal_static_tanagermoor_gateway_PermitRecall_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(15);
     internal_static_tanagermoor_gateway_PermitRecall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitRecall_descriptor,
         new java.lang.String[] { "Permits", });
     internal_static_tanagermoor_gateway_ItemHeader_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(16);
     internal_static_tanagermoor_gateway_ItemHeader_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ItemHeader_descriptor,
         new java.lang.String[] { "Name", "Value", });
     internal_static_tanagermoor_gateway_PromptParts_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(17);
     internal_static_tanagermoor_gateway_PromptParts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PromptParts_descriptor,
         new java.lang.String[] { "Shared", "Own", });
     internal_static_tanagermoor_gateway_JobItem_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_tanagermoor_gateway_JobItem_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_JobItem_descriptor,
         new java.lang.String[] { "Id", "Path", "Headers", "Body", "Tokens", "Prompt", });
     internal_static_tanagermoor_gateway_JobContent_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_tanagermoor_gateway_JobContent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_JobContent_descriptor,
         new java.lang.String[] { "Items", });
     internal_static_tanagermoor_gateway_JobRow_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(20);
     internal_static_tanagermoor_gateway_JobRow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_JobRow_descriptor,
         new java.lang.String[] { "Id", "Team", "Host", "Path", "AcceptedMillis", "Total", "Recorded", "Ended", "TokensWaiting", "Owner", });
     internal_static_tanagermoor_gateway_ResultPart_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(21);
     internal_static_tanagermoor_gateway_ResultPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ResultPart_descriptor,
         new java.lang.String[] { "Item", "Completed", "Output", });
     internal_static_tanagermoor_gateway_ItemProgress_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(22);
     internal_static_tanagermoor_gateway_ItemProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ItemProgress_descriptor,
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/HeldPermit.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/HeldPermit.java
@@ -192,6 +192,47 @@
     return work_ == null ? org.tanagermoor.gateway.proto.PermitWork.getDefaultInstance() : work_;
   }
 
+  public static final int PROMPT_FIELD_NUMBER = 7;
+  private org.tanagermoor.gateway.proto.PromptParts prompt_;
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 7;</code>
+   * @return Whether the prompt field is set.
+   */
+  @java.lang.Override
+  public boolean hasPrompt() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 7;</code>
+   * @return The prompt.
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.PromptParts getPrompt() {
+    return prompt_ == null ? org.tanagermoor.gateway.proto.PromptParts.getDefaultInstance() : prompt_;
+  }
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 7;</code>
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.PromptPartsOrBuilder getPromptOrBuilder() {
+    return prompt_ == null ? org.tanagermoor.gateway.proto.PromptParts.getDefaultInstance() : prompt_;
+  }
+
+  public static final int AGE_MILLIS_FIELD_NUMBER = 8;
+  private int ageMillis_ = 0;
+  /**
+   * <pre>
+   * The time since the place was granted, in milliseconds.
+   * </pre>
+   *
+   * <code>uint32 age_millis = 8;</code>
+   * @return The ageMillis.
+   */
+  @java.lang.Override
+  public int getAgeMillis() {
+    return ageMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -224,6 +265,12 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(6, getWork());
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(7, getPrompt());
+    }
+    if (ageMillis_ != 0) {
+      output.writeUInt32(8, ageMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -250,6 +297,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(6, getWork());
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, getPrompt());
+    }
+    if (ageMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(8, ageMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -289,6 +344,13 @@
       if (!getWork()
           .equals(other.getWork())) return false;
     }
+    if (hasPrompt() != other.hasPrompt()) return false;
+    if (hasPrompt()) {
+      if (!getPrompt()
+          .equals(other.getPrompt())) return false;
+    }
+    if (getAgeMillis()
+        != other.getAgeMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -316,6 +378,12 @@
       hash = (37 * hash) + WORK_FIELD_NUMBER;
       hash = (53 * hash) + getWork().hashCode();
     }
+    if (hasPrompt()) {
+      hash = (37 * hash) + PROMPT_FIELD_NUMBER;
+      hash = (53 * hash) + getPrompt().hashCode();
+    }
+    hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getAgeMillis();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -447,6 +515,7 @@
       if (com.google.protobuf.GeneratedMessage
               .alwaysUseFieldBuilders) {
         internalGetWorkFieldBuilder();
+        internalGetPromptFieldBuilder();
       }
     }
     @java.lang.Override
@@ -463,6 +532,12 @@
         workBuilder_.dispose();
         workBuilder_ = null;
       }
+      prompt_ = null;
+      if (promptBuilder_ != null) {
+        promptBuilder_.dispose();
+        promptBuilder_ = null;
+      }
+      ageMillis_ = 0;
       return this;
     }
 
@@ -518,6 +593,15 @@
             : workBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.prompt_ = promptBuilder_ == null
+            ? prompt_
+            : promptBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.ageMillis_ = ageMillis_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -555,6 +639,12 @@
       if (other.hasWork()) {
         mergeWork(other.getWork());
       }
+      if (other.hasPrompt()) {
+        mergePrompt(other.getPrompt());
+      }
+      if (other.getAgeMillis() != 0) {
+        setAgeMillis(other.getAgeMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -611,6 +701,18 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 58: {
+              input.readMessage(
+                  internalGetPromptFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
+            case 64: {
+              ageMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -999,6 +1101,169 @@
       return workBuilder_;
     }
 
+    private org.tanagermoor.gateway.proto.PromptParts prompt_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tanagermoor.gateway.proto.PromptParts, org.tanagermoor.gateway.proto.PromptParts.Builder, org.tanagermoor.gateway.proto.PromptPartsOrBuilder> promptBuilder_;
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 7;</code>
+     * @return Whether the prompt field is set.
+     */
+    public boolean hasPrompt() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 7;</code>
+     * @return The prompt.
+     */
+    public org.tanagermoor.gateway.proto.PromptParts getPrompt() {
+      if (promptBuilder_ == null) {
+        return prompt_ == null ? org.tanagermoor.gateway.proto.PromptParts.getDefaultInstance() : prompt_;
+      } else {
+        return promptBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 7;</code>
+     */
+    public Builder setPrompt(org.tanagermoor.gateway.proto.PromptParts value) {
+      if (promptBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        prompt_ = value;
+      } else {
+        promptBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 7;</code>
+     */
+    public Builder setPrompt(
+        org.tanagermoor.gateway.proto.PromptParts.Builder builderForValue) {
+      if (promptBuilder_ == null) {
+        prompt_ = builderForValue.build();
+      } else {
+        promptBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 7;</code>
+     */
+    public Builder mergePrompt(org.tanagermoor.gateway.proto.PromptParts value) {
+      if (promptBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0) &&
+          prompt_ != null &&
+          prompt_ != org.tanagermoor.gateway.proto.PromptParts.getDefaultInstance()) {
+          getPromptBuilder().mergeFrom(value);
+        } else {
+          prompt_ = value;
+        }
+      } else {
+        promptBuilder_.mergeFrom(value);
+      }
+      if (prompt_ != null) {
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 7;</code>
+     */
+    public Builder clearPrompt() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      prompt_ = null;
+      if (promptBuilder_ != null) {
+        promptBuilder_.dispose();
+        promptBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 7;</code>
+     */
+    public org.tanagermoor.gateway.proto.PromptParts.Builder getPromptBuilder() {
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return internalGetPromptFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 7;</code>
+     */
+    public org.tanagermoor.gateway.proto.PromptPartsOrBuilder getPromptOrBuilder() {
+      if (promptBuilder_ != null) {
+        return promptBuilder_.getMessageOrBuilder();
+      } else {
+        return prompt_ == null ?
+            org.tanagermoor.gateway.proto.PromptParts.getDefaultInstance() : prompt_;
+      }
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 7;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tanagermoor.gateway.proto.PromptParts, org.tanagermoor.gateway.proto.PromptParts.Builder, org.tanagermoor.gateway.proto.PromptPartsOrBuilder> 
+        internalGetPromptFieldBuilder() {
+      if (promptBuilder_ == null) {
+        promptBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.tanagermoor.gateway.proto.PromptParts, org.tanagermoor.gateway.proto.PromptParts.Builder, org.tanagermoor.gateway.proto.PromptPartsOrBuilder>(
+                getPrompt(),
+                getParentForChildren(),
+                isClean());
+        prompt_ = null;
+      }
+      return promptBuilder_;
+    }
+
+    private int ageMillis_ ;
+    /**
+     * <pre>
+     * The time since the place was granted, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 age_millis = 8;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public int getAgeMillis() {
+      return ageMillis_;
+    }
+    /**
+     * <pre>
+     * The time since the place was granted, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 age_millis = 8;</code>
+     * @param value The ageMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgeMillis(int value) {
+
+      ageMillis_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The time since the place was granted, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 age_millis = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      ageMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.HeldPermit)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/HeldPermitOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/HeldPermitOrBuilder.java
@@ -70,4 +70,29 @@
    * <code>.tanagermoor.gateway.PermitWork work = 6;</code>
    */
   org.tanagermoor.gateway.proto.PermitWorkOrBuilder getWorkOrBuilder();
+
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 7;</code>
+   * @return Whether the prompt field is set.
+   */
+  boolean hasPrompt();
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 7;</code>
+   * @return The prompt.
+   */
+  org.tanagermoor.gateway.proto.PromptParts getPrompt();
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 7;</code>
+   */
+  org.tanagermoor.gateway.proto.PromptPartsOrBuilder getPromptOrBuilder();
+
+  /**
+   * <pre>
+   * The time since the place was granted, in milliseconds.
+   * </pre>
+   *
+   * <code>uint32 age_millis = 8;</code>
+   * @return The ageMillis.
+   */
+  int getAgeMillis();
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAnswer.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAnswer.java
@@ -30,6 +30,7 @@
   private PermitAnswer() {
     kind_ = 0;
     target_ = "";
+    detail_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -79,6 +80,10 @@
      * <code>RESYNC = 5;</code>
      */
     RESYNC(5),
+    /**
+     * <code>QUARANTINED = 6;</code>
+     */
+    QUARANTINED(6),
     UNRECOGNIZED(-1),
     ;
 
@@ -115,6 +120,10 @@
      * <code>RESYNC = 5;</code>
      */
     public static final int RESYNC_VALUE = 5;
+    /**
+     * <code>QUARANTINED = 6;</code>
+     */
+    public static final int QUARANTINED_VALUE = 6;
 
 
     public final int getNumber() {
@@ -147,6 +156,7 @@
         case 3: return OVERLOADED;
         case 4: return NO_TARGET;
         case 5: return RESYNC;
+        case 6: return QUARANTINED;
         default: return null;
       }
     }
@@ -286,6 +296,53 @@
     return leftPermille_;
   }
 
+  public static final int DETAIL_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object detail_ = "";
+  /**
+   * <pre>
+   * Why a part of the prompt is held back, for people.
+   * </pre>
+   *
+   * <code>string detail = 5;</code>
+   * @return The detail.
+   */
+  @java.lang.Override
+  public java.lang.String getDetail() {
+    java.lang.Object ref = detail_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      detail_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Why a part of the prompt is held back, for people.
+   * </pre>
+   *
+   * <code>string detail = 5;</code>
+   * @return The bytes for detail.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getDetailBytes() {
+    java.lang.Object ref = detail_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      detail_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -312,6 +369,9 @@
     if (leftPermille_ != 0) {
       output.writeUInt32(4, leftPermille_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(detail_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, detail_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -331,6 +391,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(4, leftPermille_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(detail_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, detail_);
+    }
     return size;
   }
   @java.lang.Override
@@ -362,6 +425,8 @@
         != other.getRetryAfterMillis()) return false;
     if (getLeftPermille()
         != other.getLeftPermille()) return false;
+    if (!getDetail()
+        .equals(other.getDetail())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -381,6 +446,8 @@
     hash = (53 * hash) + getRetryAfterMillis();
     hash = (37 * hash) + LEFT_PERMILLE_FIELD_NUMBER;
     hash = (53 * hash) + getLeftPermille();
+    hash = (37 * hash) + DETAIL_FIELD_NUMBER;
+    hash = (53 * hash) + getDetail().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -516,6 +583,7 @@
       target_ = "";
       retryAfterMillis_ = 0;
       leftPermille_ = 0;
+      detail_ = "";
       return this;
     }
 
@@ -561,6 +629,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.leftPermille_ = leftPermille_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.detail_ = detail_;
+      }
     }
 
     @java.lang.Override
@@ -589,6 +660,11 @@
       if (other.getLeftPermille() != 0) {
         setLeftPermille(other.getLeftPermille());
       }
+      if (!other.getDetail().isEmpty()) {
+        detail_ = other.detail_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -633,6 +709,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 42: {
+              detail_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -850,6 +931,98 @@
       return this;
     }
 
+    private java.lang.Object detail_ = "";
+    /**
+     * <pre>
+     * Why a part of the prompt is held back, for people.
+     * </pre>
+     *
+     * <code>string detail = 5;</code>
+     * @return The detail.
+     */
+    public java.lang.String getDetail() {
+      java.lang.Object ref = detail_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        detail_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Why a part of the prompt is held back, for people.
+     * </pre>
+     *
+     * <code>string detail = 5;</code>
+     * @return The bytes for detail.
+     */
+    public com.google.protobuf.ByteString
+        getDetailBytes() {
+      java.lang.Object ref = detail_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        detail_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Why a part of the prompt is held back, for people.
+     * </pre>
+     *
+     * <code>string detail = 5;</code>
+     * @param value The detail to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDetail(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      detail_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Why a part of the prompt is held back, for people.
+     * </pre>
+     *
+     * <code>string detail = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDetail() {
+      detail_ = getDefaultInstance().getDetail();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Why a part of the prompt is held back, for people.
+     * </pre>
+     *
+     * <code>string detail = 5;</code>
+     * @param value The bytes for detail to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDetailBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      detail_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.PermitAnswer)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAnswerOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAnswerOrBuilder.java
@@ -48,4 +48,24 @@
    * @return The leftPermille.
    */
   int getLeftPermille();
+
+  /**
+   * <pre>
+   * Why a part of the prompt is held back, for people.
+   * </pre>
+   *
+   * <code>string detail = 5;</code>
+   * @return The detail.
+   */
+  java.lang.String getDetail();
+  /**
+   * <pre>
+   * Why a part of the prompt is held back, for people.
+   * </pre>
+   *
+   * <code>string detail = 5;</code>
+   * @return The bytes for detail.
+   */
+  com.google.protobuf.ByteString
+      getDetailBytes();
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAsk.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAsk.java
@@ -320,6 +320,32 @@
     return work_ == null ? org.tanagermoor.gateway.proto.PermitWork.getDefaultInstance() : work_;
   }
 
+  public static final int PROMPT_FIELD_NUMBER = 12;
+  private org.tanagermoor.gateway.proto.PromptParts prompt_;
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 12;</code>
+   * @return Whether the prompt field is set.
+   */
+  @java.lang.Override
+  public boolean hasPrompt() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 12;</code>
+   * @return The prompt.
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.PromptParts getPrompt() {
+    return prompt_ == null ? org.tanagermoor.gateway.proto.PromptParts.getDefaultInstance() : prompt_;
+  }
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 12;</code>
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.PromptPartsOrBuilder getPromptOrBuilder() {
+    return prompt_ == null ? org.tanagermoor.gateway.proto.PromptParts.getDefaultInstance() : prompt_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -367,6 +393,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(11, getWork());
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(12, getPrompt());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -416,6 +445,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(11, getWork());
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(12, getPrompt());
+    }
     return size;
   }
   @java.lang.Override
@@ -465,6 +498,11 @@
       if (!getWork()
           .equals(other.getWork())) return false;
     }
+    if (hasPrompt() != other.hasPrompt()) return false;
+    if (hasPrompt()) {
+      if (!getPrompt()
+          .equals(other.getPrompt())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -506,6 +544,10 @@
       hash = (37 * hash) + WORK_FIELD_NUMBER;
       hash = (53 * hash) + getWork().hashCode();
     }
+    if (hasPrompt()) {
+      hash = (37 * hash) + PROMPT_FIELD_NUMBER;
+      hash = (53 * hash) + getPrompt().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -637,6 +679,7 @@
       if (com.google.protobuf.GeneratedMessage
               .alwaysUseFieldBuilders) {
         internalGetWorkFieldBuilder();
+        internalGetPromptFieldBuilder();
       }
     }
     @java.lang.Override
@@ -659,6 +702,11 @@
         workBuilder_.dispose();
         workBuilder_ = null;
       }
+      prompt_ = null;
+      if (promptBuilder_ != null) {
+        promptBuilder_.dispose();
+        promptBuilder_ = null;
+      }
       return this;
     }
 
@@ -730,6 +778,12 @@
             : workBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.prompt_ = promptBuilder_ == null
+            ? prompt_
+            : promptBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -791,6 +845,9 @@
       if (other.hasWork()) {
         mergeWork(other.getWork());
       }
+      if (other.hasPrompt()) {
+        mergePrompt(other.getPrompt());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -872,6 +929,13 @@
               bitField0_ |= 0x00000400;
               break;
             } // case 90
+            case 98: {
+              input.readMessage(
+                  internalGetPromptFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1583,6 +1647,125 @@
       return workBuilder_;
     }
 
+    private org.tanagermoor.gateway.proto.PromptParts prompt_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tanagermoor.gateway.proto.PromptParts, org.tanagermoor.gateway.proto.PromptParts.Builder, org.tanagermoor.gateway.proto.PromptPartsOrBuilder> promptBuilder_;
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 12;</code>
+     * @return Whether the prompt field is set.
+     */
+    public boolean hasPrompt() {
+      return ((bitField0_ & 0x00000800) != 0);
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 12;</code>
+     * @return The prompt.
+     */
+    public org.tanagermoor.gateway.proto.PromptParts getPrompt() {
+      if (promptBuilder_ == null) {
+        return prompt_ == null ? org.tanagermoor.gateway.proto.PromptParts.getDefaultInstance() : prompt_;
+      } else {
+        return promptBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 12;</code>
+     */
+    public Builder setPrompt(org.tanagermoor.gateway.proto.PromptParts value) {
+      if (promptBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        prompt_ = value;
+      } else {
+        promptBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 12;</code>
+     */
+    public Builder setPrompt(
+        org.tanagermoor.gateway.proto.PromptParts.Builder builderForValue) {
+      if (promptBuilder_ == null) {
+        prompt_ = builderForValue.build();
+      } else {
+        promptBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 12;</code>
+     */
+    public Builder mergePrompt(org.tanagermoor.gateway.proto.PromptParts value) {
+      if (promptBuilder_ == null) {
+        if (((bitField0_ & 0x00000800) != 0) &&
+          prompt_ != null &&
+          prompt_ != org.tanagermoor.gateway.proto.PromptParts.getDefaultInstance()) {
+          getPromptBuilder().mergeFrom(value);
+        } else {
+          prompt_ = value;
+        }
+      } else {
+        promptBuilder_.mergeFrom(value);
+      }
+      if (prompt_ != null) {
+        bitField0_ |= 0x00000800;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 12;</code>
+     */
+    public Builder clearPrompt() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      prompt_ = null;
+      if (promptBuilder_ != null) {
+        promptBuilder_.dispose();
+        promptBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 12;</code>
+     */
+    public org.tanagermoor.gateway.proto.PromptParts.Builder getPromptBuilder() {
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return internalGetPromptFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 12;</code>
+     */
+    public org.tanagermoor.gateway.proto.PromptPartsOrBuilder getPromptOrBuilder() {
+      if (promptBuilder_ != null) {
+        return promptBuilder_.getMessageOrBuilder();
+      } else {
+        return prompt_ == null ?
+            org.tanagermoor.gateway.proto.PromptParts.getDefaultInstance() : prompt_;
+      }
+    }
+    /**
+     * <code>.tanagermoor.gateway.PromptParts prompt = 12;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tanagermoor.gateway.proto.PromptParts, org.tanagermoor.gateway.proto.PromptParts.Builder, org.tanagermoor.gateway.proto.PromptPartsOrBuilder> 
+        internalGetPromptFieldBuilder() {
+      if (promptBuilder_ == null) {
+        promptBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.tanagermoor.gateway.proto.PromptParts, org.tanagermoor.gateway.proto.PromptParts.Builder, org.tanagermoor.gateway.proto.PromptPartsOrBuilder>(
+                getPrompt(),
+                getParentForChildren(),
+                isClean());
+        prompt_ = null;
+      }
+      return promptBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.PermitAsk)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAskOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAskOrBuilder.java
@@ -141,4 +141,19 @@
    * <code>.tanagermoor.gateway.PermitWork work = 11;</code>
    */
   org.tanagermoor.gateway.proto.PermitWorkOrBuilder getWorkOrBuilder();
+
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 12;</code>
+   * @return Whether the prompt field is set.
+   */
+  boolean hasPrompt();
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 12;</code>
+   * @return The prompt.
+   */
+  org.tanagermoor.gateway.proto.PromptParts getPrompt();
+  /**
+   * <code>.tanagermoor.gateway.PromptParts prompt = 12;</code>
+   */
+  org.tanagermoor.gateway.proto.PromptPartsOrBuilder getPromptOrBuilder();
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitCall.java
@@ -36,6 +36,7 @@
     returns_ = java.util.Collections.emptyList();
     held_ = java.util.Collections.emptyList();
     leaving_ = java.util.Collections.emptyList();
+    crashes_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -237,6 +238,67 @@
     return leaving_.get(index);
   }
 
+  public static final int CRASHES_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private java.util.List<org.tanagermoor.gateway.proto.CrashReport> crashes_;
+  /**
+   * <pre>
+   * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.tanagermoor.gateway.proto.CrashReport> getCrashesList() {
+    return crashes_;
+  }
+  /**
+   * <pre>
+   * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.tanagermoor.gateway.proto.CrashReportOrBuilder> 
+      getCrashesOrBuilderList() {
+    return crashes_;
+  }
+  /**
+   * <pre>
+   * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+   */
+  @java.lang.Override
+  public int getCrashesCount() {
+    return crashes_.size();
+  }
+  /**
+   * <pre>
+   * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.CrashReport getCrashes(int index) {
+    return crashes_.get(index);
+  }
+  /**
+   * <pre>
+   * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.CrashReportOrBuilder getCrashesOrBuilder(
+      int index) {
+    return crashes_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -266,6 +328,9 @@
     for (int i = 0; i < leaving_.size(); i++) {
       output.writeMessage(5, leaving_.get(i));
     }
+    for (int i = 0; i < crashes_.size(); i++) {
+      output.writeMessage(6, crashes_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -305,6 +370,15 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = crashes_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(crashes_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -342,6 +416,8 @@
         .equals(other.getHeldList())) return false;
     if (!getLeavingList()
         .equals(other.getLeavingList())) return false;
+    if (!getCrashesList()
+        .equals(other.getCrashesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -372,6 +448,10 @@
       hash = (37 * hash) + LEAVING_FIELD_NUMBER;
       hash = (53 * hash) + getLeavingList().hashCode();
     }
+    if (getCrashesCount() > 0) {
+      hash = (37 * hash) + CRASHES_FIELD_NUMBER;
+      hash = (53 * hash) + getCrashesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -511,6 +591,7 @@
         internalGetReturnsFieldBuilder();
         internalGetHeldFieldBuilder();
         internalGetLeavingFieldBuilder();
+        internalGetCrashesFieldBuilder();
       }
     }
     @java.lang.Override
@@ -544,6 +625,13 @@
         leavingBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      if (crashesBuilder_ == null) {
+        crashes_ = java.util.Collections.emptyList();
+      } else {
+        crashes_ = null;
+        crashesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       return this;
     }
 
@@ -604,6 +692,15 @@
       } else {
         result.leaving_ = leavingBuilder_.build();
       }
+      if (crashesBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          crashes_ = java.util.Collections.unmodifiableList(crashes_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.crashes_ = crashes_;
+      } else {
+        result.crashes_ = crashesBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.tanagermoor.gateway.proto.PermitCall result) {
@@ -717,6 +814,32 @@
           }
         }
       }
+      if (crashesBuilder_ == null) {
+        if (!other.crashes_.isEmpty()) {
+          if (crashes_.isEmpty()) {
+            crashes_ = other.crashes_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensureCrashesIsMutable();
+            crashes_.addAll(other.crashes_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.crashes_.isEmpty()) {
+          if (crashesBuilder_.isEmpty()) {
+            crashesBuilder_.dispose();
+            crashesBuilder_ = null;
+            crashes_ = other.crashes_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            crashesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetCrashesFieldBuilder() : null;
+          } else {
+            crashesBuilder_.addAllMessages(other.crashes_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -792,6 +915,19 @@
               }
               break;
             } // case 42
+            case 50: {
+              org.tanagermoor.gateway.proto.CrashReport m =
+                  input.readMessage(
+                      org.tanagermoor.gateway.proto.CrashReport.parser(),
+                      extensionRegistry);
+              if (crashesBuilder_ == null) {
+                ensureCrashesIsMutable();
+                crashes_.add(m);
+              } else {
+                crashesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1734,6 +1870,312 @@
       return leavingBuilder_;
     }
 
+    private java.util.List<org.tanagermoor.gateway.proto.CrashReport> crashes_ =
+      java.util.Collections.emptyList();
+    private void ensureCrashesIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        crashes_ = new java.util.ArrayList<org.tanagermoor.gateway.proto.CrashReport>(crashes_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.tanagermoor.gateway.proto.CrashReport, org.tanagermoor.gateway.proto.CrashReport.Builder, org.tanagermoor.gateway.proto.CrashReportOrBuilder> crashesBuilder_;
+
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public java.util.List<org.tanagermoor.gateway.proto.CrashReport> getCrashesList() {
+      if (crashesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(crashes_);
+      } else {
+        return crashesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public int getCrashesCount() {
+      if (crashesBuilder_ == null) {
+        return crashes_.size();
+      } else {
+        return crashesBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public org.tanagermoor.gateway.proto.CrashReport getCrashes(int index) {
+      if (crashesBuilder_ == null) {
+        return crashes_.get(index);
+      } else {
+        return crashesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public Builder setCrashes(
+        int index, org.tanagermoor.gateway.proto.CrashReport value) {
+      if (crashesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCrashesIsMutable();
+        crashes_.set(index, value);
+        onChanged();
+      } else {
+        crashesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public Builder setCrashes(
+        int index, org.tanagermoor.gateway.proto.CrashReport.Builder builderForValue) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        crashes_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        crashesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public Builder addCrashes(org.tanagermoor.gateway.proto.CrashReport value) {
+      if (crashesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCrashesIsMutable();
+        crashes_.add(value);
+        onChanged();
+      } else {
+        crashesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public Builder addCrashes(
+        int index, org.tanagermoor.gateway.proto.CrashReport value) {
+      if (crashesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCrashesIsMutable();
+        crashes_.add(index, value);
+        onChanged();
+      } else {
+        crashesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public Builder addCrashes(
+        org.tanagermoor.gateway.proto.CrashReport.Builder builderForValue) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        crashes_.add(builderForValue.build());
+        onChanged();
+      } else {
+        crashesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public Builder addCrashes(
+        int index, org.tanagermoor.gateway.proto.CrashReport.Builder builderForValue) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        crashes_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        crashesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public Builder addAllCrashes(
+        java.lang.Iterable<? extends org.tanagermoor.gateway.proto.CrashReport> values) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, crashes_);
+        onChanged();
+      } else {
+        crashesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public Builder clearCrashes() {
+      if (crashesBuilder_ == null) {
+        crashes_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        crashesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public Builder removeCrashes(int index) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        crashes_.remove(index);
+        onChanged();
+      } else {
+        crashesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public org.tanagermoor.gateway.proto.CrashReport.Builder getCrashesBuilder(
+        int index) {
+      return internalGetCrashesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public org.tanagermoor.gateway.proto.CrashReportOrBuilder getCrashesOrBuilder(
+        int index) {
+      if (crashesBuilder_ == null) {
+        return crashes_.get(index);  } else {
+        return crashesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public java.util.List<? extends org.tanagermoor.gateway.proto.CrashReportOrBuilder> 
+         getCrashesOrBuilderList() {
+      if (crashesBuilder_ != null) {
+        return crashesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(crashes_);
+      }
+    }
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public org.tanagermoor.gateway.proto.CrashReport.Builder addCrashesBuilder() {
+      return internalGetCrashesFieldBuilder().addBuilder(
+          org.tanagermoor.gateway.proto.CrashReport.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public org.tanagermoor.gateway.proto.CrashReport.Builder addCrashesBuilder(
+        int index) {
+      return internalGetCrashesFieldBuilder().addBuilder(
+          index, org.tanagermoor.gateway.proto.CrashReport.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+     */
+    public java.util.List<org.tanagermoor.gateway.proto.CrashReport.Builder> 
+         getCrashesBuilderList() {
+      return internalGetCrashesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.tanagermoor.gateway.proto.CrashReport, org.tanagermoor.gateway.proto.CrashReport.Builder, org.tanagermoor.gateway.proto.CrashReportOrBuilder> 
+        internalGetCrashesFieldBuilder() {
+      if (crashesBuilder_ == null) {
+        crashesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.tanagermoor.gateway.proto.CrashReport, org.tanagermoor.gateway.proto.CrashReport.Builder, org.tanagermoor.gateway.proto.CrashReportOrBuilder>(
+                crashes_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        crashes_ = null;
+      }
+      return crashesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.PermitCall)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitCallOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitCallOrBuilder.java
@@ -122,4 +122,48 @@
    */
   org.tanagermoor.gateway.proto.LeavingTargetOrBuilder getLeavingOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+   */
+  java.util.List<org.tanagermoor.gateway.proto.CrashReport> 
+      getCrashesList();
+  /**
+   * <pre>
+   * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+   */
+  org.tanagermoor.gateway.proto.CrashReport getCrashes(int index);
+  /**
+   * <pre>
+   * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+   */
+  int getCrashesCount();
+  /**
+   * <pre>
+   * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+   */
+  java.util.List<? extends org.tanagermoor.gateway.proto.CrashReportOrBuilder> 
+      getCrashesOrBuilderList();
+  /**
+   * <pre>
+   * After a change of the dispatcher, the recent runs that broke off when their targets began to answer.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.CrashReport crashes = 6;</code>
+   */
+  org.tanagermoor.gateway.proto.CrashReportOrBuilder getCrashesOrBuilder(
+      int index);
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitReturn.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitReturn.java
@@ -74,6 +74,14 @@
      * <code>FAILED = 4;</code>
      */
     FAILED(4),
+    /**
+     * <code>CRASHED = 5;</code>
+     */
+    CRASHED(5),
+    /**
+     * <code>ABANDONED = 6;</code>
+     */
+    ABANDONED(6),
     UNRECOGNIZED(-1),
     ;
 
@@ -106,6 +114,14 @@
      * <code>FAILED = 4;</code>
      */
     public static final int FAILED_VALUE = 4;
+    /**
+     * <code>CRASHED = 5;</code>
+     */
+    public static final int CRASHED_VALUE = 5;
+    /**
+     * <code>ABANDONED = 6;</code>
+     */
+    public static final int ABANDONED_VALUE = 6;
 
 
     public final int getNumber() {
@@ -137,6 +153,8 @@
         case 2: return UNREACHABLE;
         case 3: return FULL;
         case 4: return FAILED;
+        case 5: return CRASHED;
+        case 6: return ABANDONED;
         default: return null;
       }
     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Signs.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Signs.java
@@ -36,6 +36,7 @@
     tables_ = java.util.Collections.emptyList();
     incarnations_ = emptyLongList();
     agesMillis_ = emptyIntList();
+    parts_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -245,6 +246,67 @@
     return incomplete_;
   }
 
+  public static final int PARTS_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private java.util.List<org.tanagermoor.gateway.proto.QuarantinedPart> parts_;
+  /**
+   * <pre>
+   * The parts of prompts that were found to crash targets.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.tanagermoor.gateway.proto.QuarantinedPart> getPartsList() {
+    return parts_;
+  }
+  /**
+   * <pre>
+   * The parts of prompts that were found to crash targets.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.tanagermoor.gateway.proto.QuarantinedPartOrBuilder> 
+      getPartsOrBuilderList() {
+    return parts_;
+  }
+  /**
+   * <pre>
+   * The parts of prompts that were found to crash targets.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+   */
+  @java.lang.Override
+  public int getPartsCount() {
+    return parts_.size();
+  }
+  /**
+   * <pre>
+   * The parts of prompts that were found to crash targets.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.QuarantinedPart getParts(int index) {
+    return parts_.get(index);
+  }
+  /**
+   * <pre>
+   * The parts of prompts that were found to crash targets.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.QuarantinedPartOrBuilder getPartsOrBuilder(
+      int index) {
+    return parts_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -283,6 +345,9 @@
     if (incomplete_ != false) {
       output.writeBool(5, incomplete_);
     }
+    for (int i = 0; i < parts_.size(); i++) {
+      output.writeMessage(6, parts_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -334,6 +399,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(5, incomplete_);
     }
+
+        {
+          final int count = parts_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(parts_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -368,6 +442,8 @@
         .equals(other.getAgesMillisList())) return false;
     if (getIncomplete()
         != other.getIncomplete()) return false;
+    if (!getPartsList()
+        .equals(other.getPartsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -398,6 +474,10 @@
     hash = (37 * hash) + INCOMPLETE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getIncomplete());
+    if (getPartsCount() > 0) {
+      hash = (37 * hash) + PARTS_FIELD_NUMBER;
+      hash = (53 * hash) + getPartsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -550,6 +630,13 @@
       incarnations_ = emptyLongList();
       agesMillis_ = emptyIntList();
       incomplete_ = false;
+      if (partsBuilder_ == null) {
+        parts_ = java.util.Collections.emptyList();
+      } else {
+        parts_ = null;
+        partsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       return this;
     }
 
@@ -601,6 +688,15 @@
       } else {
         result.tables_ = tablesBuilder_.build();
       }
+      if (partsBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          parts_ = java.util.Collections.unmodifiableList(parts_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.parts_ = parts_;
+      } else {
+        result.parts_ = partsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.tanagermoor.gateway.proto.Signs result) {
@@ -707,6 +803,32 @@
       if (other.getIncomplete() != false) {
         setIncomplete(other.getIncomplete());
       }
+      if (partsBuilder_ == null) {
+        if (!other.parts_.isEmpty()) {
+          if (parts_.isEmpty()) {
+            parts_ = other.parts_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensurePartsIsMutable();
+            parts_.addAll(other.parts_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.parts_.isEmpty()) {
+          if (partsBuilder_.isEmpty()) {
+            partsBuilder_.dispose();
+            partsBuilder_ = null;
+            parts_ = other.parts_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            partsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetPartsFieldBuilder() : null;
+          } else {
+            partsBuilder_.addAllMessages(other.parts_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -795,6 +917,19 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 50: {
+              org.tanagermoor.gateway.proto.QuarantinedPart m =
+                  input.readMessage(
+                      org.tanagermoor.gateway.proto.QuarantinedPart.parser(),
+                      extensionRegistry);
+              if (partsBuilder_ == null) {
+                ensurePartsIsMutable();
+                parts_.add(m);
+              } else {
+                partsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1598,6 +1733,312 @@
       return this;
     }
 
+    private java.util.List<org.tanagermoor.gateway.proto.QuarantinedPart> parts_ =
+      java.util.Collections.emptyList();
+    private void ensurePartsIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        parts_ = new java.util.ArrayList<org.tanagermoor.gateway.proto.QuarantinedPart>(parts_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.tanagermoor.gateway.proto.QuarantinedPart, org.tanagermoor.gateway.proto.QuarantinedPart.Builder, org.tanagermoor.gateway.proto.QuarantinedPartOrBuilder> partsBuilder_;
+
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public java.util.List<org.tanagermoor.gateway.proto.QuarantinedPart> getPartsList() {
+      if (partsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(parts_);
+      } else {
+        return partsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public int getPartsCount() {
+      if (partsBuilder_ == null) {
+        return parts_.size();
+      } else {
+        return partsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public org.tanagermoor.gateway.proto.QuarantinedPart getParts(int index) {
+      if (partsBuilder_ == null) {
+        return parts_.get(index);
+      } else {
+        return partsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public Builder setParts(
+        int index, org.tanagermoor.gateway.proto.QuarantinedPart value) {
+      if (partsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePartsIsMutable();
+        parts_.set(index, value);
+        onChanged();
+      } else {
+        partsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public Builder setParts(
+        int index, org.tanagermoor.gateway.proto.QuarantinedPart.Builder builderForValue) {
+      if (partsBuilder_ == null) {
+        ensurePartsIsMutable();
+        parts_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        partsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public Builder addParts(org.tanagermoor.gateway.proto.QuarantinedPart value) {
+      if (partsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePartsIsMutable();
+        parts_.add(value);
+        onChanged();
+      } else {
+        partsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public Builder addParts(
+        int index, org.tanagermoor.gateway.proto.QuarantinedPart value) {
+      if (partsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePartsIsMutable();
+        parts_.add(index, value);
+        onChanged();
+      } else {
+        partsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public Builder addParts(
+        org.tanagermoor.gateway.proto.QuarantinedPart.Builder builderForValue) {
+      if (partsBuilder_ == null) {
+        ensurePartsIsMutable();
+        parts_.add(builderForValue.build());
+        onChanged();
+      } else {
+        partsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public Builder addParts(
+        int index, org.tanagermoor.gateway.proto.QuarantinedPart.Builder builderForValue) {
+      if (partsBuilder_ == null) {
+        ensurePartsIsMutable();
+        parts_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        partsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public Builder addAllParts(
+        java.lang.Iterable<? extends org.tanagermoor.gateway.proto.QuarantinedPart> values) {
+      if (partsBuilder_ == null) {
+        ensurePartsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, parts_);
+        onChanged();
+      } else {
+        partsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public Builder clearParts() {
+      if (partsBuilder_ == null) {
+        parts_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        partsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public Builder removeParts(int index) {
+      if (partsBuilder_ == null) {
+        ensurePartsIsMutable();
+        parts_.remove(index);
+        onChanged();
+      } else {
+        partsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public org.tanagermoor.gateway.proto.QuarantinedPart.Builder getPartsBuilder(
+        int index) {
+      return internalGetPartsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public org.tanagermoor.gateway.proto.QuarantinedPartOrBuilder getPartsOrBuilder(
+        int index) {
+      if (partsBuilder_ == null) {
+        return parts_.get(index);  } else {
+        return partsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public java.util.List<? extends org.tanagermoor.gateway.proto.QuarantinedPartOrBuilder> 
+         getPartsOrBuilderList() {
+      if (partsBuilder_ != null) {
+        return partsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(parts_);
+      }
+    }
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public org.tanagermoor.gateway.proto.QuarantinedPart.Builder addPartsBuilder() {
+      return internalGetPartsFieldBuilder().addBuilder(
+          org.tanagermoor.gateway.proto.QuarantinedPart.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public org.tanagermoor.gateway.proto.QuarantinedPart.Builder addPartsBuilder(
+        int index) {
+      return internalGetPartsFieldBuilder().addBuilder(
+          index, org.tanagermoor.gateway.proto.QuarantinedPart.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The parts of prompts that were found to crash targets.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+     */
+    public java.util.List<org.tanagermoor.gateway.proto.QuarantinedPart.Builder> 
+         getPartsBuilderList() {
+      return internalGetPartsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.tanagermoor.gateway.proto.QuarantinedPart, org.tanagermoor.gateway.proto.QuarantinedPart.Builder, org.tanagermoor.gateway.proto.QuarantinedPartOrBuilder> 
+        internalGetPartsFieldBuilder() {
+      if (partsBuilder_ == null) {
+        partsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.tanagermoor.gateway.proto.QuarantinedPart, org.tanagermoor.gateway.proto.QuarantinedPart.Builder, org.tanagermoor.gateway.proto.QuarantinedPartOrBuilder>(
+                parts_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        parts_ = null;
+      }
+      return partsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.Signs)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/SignsOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/SignsOrBuilder.java
@@ -133,4 +133,48 @@
    * @return The incomplete.
    */
   boolean getIncomplete();
+
+  /**
+   * <pre>
+   * The parts of prompts that were found to crash targets.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+   */
+  java.util.List<org.tanagermoor.gateway.proto.QuarantinedPart> 
+      getPartsList();
+  /**
+   * <pre>
+   * The parts of prompts that were found to crash targets.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+   */
+  org.tanagermoor.gateway.proto.QuarantinedPart getParts(int index);
+  /**
+   * <pre>
+   * The parts of prompts that were found to crash targets.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+   */
+  int getPartsCount();
+  /**
+   * <pre>
+   * The parts of prompts that were found to crash targets.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+   */
+  java.util.List<? extends org.tanagermoor.gateway.proto.QuarantinedPartOrBuilder> 
+      getPartsOrBuilderList();
+  /**
+   * <pre>
+   * The parts of prompts that were found to crash targets.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.QuarantinedPart parts = 6;</code>
+   */
+  org.tanagermoor.gateway.proto.QuarantinedPartOrBuilder getPartsOrBuilder(
+      int index);
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchClientTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchClientTest.java
@@ -32,6 +32,7 @@
 import org.tanagermoor.policy.budget.RateLimit;
 import org.tanagermoor.policy.fleet.InstanceId;
 import org.tanagermoor.policy.fleet.Rendezvous;
+import org.tanagermoor.policy.quarantine.Quarantine;
 import org.tanagermoor.wire.link.Channel;
 import org.tanagermoor.wire.link.PeerHandler;
 import org.tanagermoor.wire.link.PeerLink;
@@ -316,7 +317,7 @@
             liveness = Liveness.of(instance);
             nodes.put(address, this);
             EventLoop loop = channel.eventLoop();
-            server = DispatchServer.of(loop, this, liveness, time, rates);
+            server = DispatchServer.of(loop, this, liveness, time, rates, Quarantine.of());
             client = DispatchClient.of(loop, this, liveness, server, rates, new EventLog.Disabled(), time);
             TargetEntry target = new TargetEntry("t", "s", address, "lisbon", CAPACITY, false, 0, 0);
             server.dispatcher().targets(List.of(target), service -> 0, now);
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherFixture.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherFixture.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.kernel.setting.Address;
+import org.tanagermoor.policy.quarantine.Quarantine;
+import org.tanagermoor.policy.quarantine.QuarantineEntry;
 
 /** A dispatcher with a simulated clock, and asks to it. */
 abstract class DispatcherFixture {
@@ -29,6 +31,9 @@
     /** The recalled permits in the order of the recalls. */
     final List<Long> recalled = new ArrayList<>();
 
+    /** The records of parts of prompts in the order of the decisions. */
+    final List<QuarantineEntry> quarantined = new ArrayList<>();
+
     final TeamRates rates = TeamRates.of();
 
     /** The current time in nanoseconds. */
@@ -65,8 +70,15 @@
                     public void recall(String holder, long permit) {
                         recalled.add(permit);
                     }
+
+                    /** {@inheritDoc} */
+                    @Override
+                    public void quarantineChanged(QuarantineEntry entry) {
+                        quarantined.add(entry);
+                    }
                 },
-                rates);
+                rates,
+                Quarantine.of());
     }
 
     /** Advances the time by the given milliseconds. */
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobLoad.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobLoad.java
@@ -17,6 +17,8 @@
 import org.tanagermoor.gateway.dispatch.Work;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.kernel.setting.Address;
+import org.tanagermoor.policy.quarantine.Quarantine;
+import org.tanagermoor.policy.quarantine.QuarantineEntry;
 
 /**
  * Simulates jobs of long items beside bursts of online requests, with a real dispatcher and the order in which owners
@@ -141,7 +143,7 @@
 
     /** Returns a dispatcher that knows neither targets nor permits. */
     private Dispatcher dispatcher() {
-        Dispatcher created = Dispatcher.of(new Decisions(), TeamRates.of());
+        Dispatcher created = Dispatcher.of(new Decisions(), TeamRates.of(), Quarantine.of());
         return created;
     }
 
@@ -417,6 +419,12 @@
                 item.recalled = true;
             }
         }
+
+        /** {@inheritDoc} */
+        @Override
+        public void quarantineChanged(QuarantineEntry entry) {
+            throw new AssertionError("no part is held back in this simulation");
+        }
     }
 
     /** A simulated item of a job. */
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -51,6 +51,7 @@
 import org.tanagermoor.gateway.member.Liveness;
 import org.tanagermoor.gateway.proto.JobContent;
 import org.tanagermoor.gateway.proto.JobItem;
+import org.tanagermoor.gateway.quarantine.PartQuarantine;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.event.EventRecord;
 import org.tanagermoor.kernel.event.EventType;
@@ -60,6 +61,7 @@
 import org.tanagermoor.kernel.time.TimeSource;
 import org.tanagermoor.policy.fleet.InstanceId;
 import org.tanagermoor.policy.prompt.Prompt;
+import org.tanagermoor.policy.quarantine.Quarantine;
 import org.tanagermoor.store.object.ObjectStore;
 import org.tanagermoor.store.table.TableService;
 import org.tanagermoor.wire.link.Channel;
@@ -148,7 +150,7 @@
         fleet.operatorChanged(List.of(new ChangeFeed.Change("config", 1, new byte[0])));
         TARGETS.forEach(id -> fleet.targetsChanged(List.of(new ChangeFeed.Change(id, 2, new byte[0])), now, now));
         TeamRates rates = TeamRates.of();
-        server = DispatchServer.of(channel.eventLoop(), link, liveness, time, rates);
+        server = DispatchServer.of(channel.eventLoop(), link, liveness, time, rates, Quarantine.of());
         server.dispatcher().targets(fleet.usable(), service -> 0, now);
         dispatch = DispatchClient.of(channel.eventLoop(), link, liveness, server, rates, log, time);
         createJobs(RETENTIONS.get(0));
@@ -166,6 +168,7 @@
                 log,
                 GatewayMetrics.of(new MetricRegistry()),
                 time,
+                PartQuarantine.of(Quarantine.of(), TableService.InMemory.of(), channel.eventLoop(), log, time),
                 "lisbon",
                 new HashMap<>(),
                 ItemPace.of(),
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/prompt/Prompt.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/prompt/Prompt.java
@@ -1,5 +1,6 @@
 package org.tanagermoor.policy.prompt;
 
+import java.util.Collection;
 import java.util.List;
 
 /**
@@ -37,6 +38,11 @@
         return new Prompt(shared, fits(parts.get(last)) ? parts.get(last) : "");
     }
 
+    /** Returns this prompt without the given shared parts. */
+    public Prompt withoutShared(Collection<String> parts) {
+        return new Prompt(shared.stream().filter(part -> !parts.contains(part)).toList(), own);
+    }
+
     private static boolean fits(String part) {
         return !part.isEmpty() && part.length() <= MAX_PART_CHARS;
     }
--- /dev/null
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/CrashEvidence.java
@@ -0,0 +1,253 @@
+package org.tanagermoor.policy.quarantine;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Predicate;
+
+/**
+ * Finds the part of a prompt that crashes each target that begins to answer it. Designed for few such requests among
+ * many sound ones that share all their other parts and are broken off by the same crashes.
+ *
+ * <p>An answered request acquits its parts. A part is accused by crashes that followed one another: the next request
+ * was sent when the crash before it was known. Many targets that are lost at once thus count as one crash. Crashes are
+ * explained by a single part, the one that the fewest requests hold. Not thread-safe.
+ */
+public final class CrashEvidence {
+
+    /** The number of crashes that accuse a part. Fewer than the fleet may suffer, since some evidence may be lost. */
+    static final int MIN_CRASHES = 3;
+
+    /** The number of different requests among them, as a single request may itself be the cause. */
+    static final int MIN_REQUESTS = 2;
+
+    /**
+     * The number of answers to requests without the part since its first crash: without any, targets fail for a reason
+     * that has nothing to do with the part.
+     */
+    static final int MIN_OTHER_ANSWERS = 3;
+
+    /** The maximum number of suspected parts; the one that was suspected first is dropped. */
+    static final int MAX_SUSPECTS = 256;
+
+    /** The maximum number of crashes that are kept for a part. */
+    private static final int MAX_CRASHES = 8;
+
+    /** The maximum number of runs and targets that are remembered to recognize repeated reports. */
+    private static final int MAX_REMEMBERED = 1_024;
+
+    /** The age at which a crash is dropped, in nanoseconds. */
+    private static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
+
+    /** The time within which a target crashes only once, in nanoseconds: it needs longer to start again. */
+    private static final long SAME_CRASH_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    /**
+     * How late the report of an answer may be that was complete before its target crashed, in nanoseconds. A target
+     * that answers later, but before it can have started again, did not crash.
+     */
+    private static final long LATE_REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /** The time before which a crashed target cannot have answered again, in nanoseconds. */
+    private static final long RESTART_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+    /** The suspected parts in the order in which they were first suspected. */
+    private final Map<String, Suspect> suspects = bounded(MAX_SUSPECTS);
+
+    /** The time in nanoseconds at which each target last crashed, by identity. */
+    private final Map<String, Long> crashedAt = bounded(MAX_REMEMBERED);
+
+    /** The time in nanoseconds of the last crash of a target that a quarantined part explains, by identity. */
+    private final Map<String, Long> explainedAt = bounded(MAX_REMEMBERED);
+
+    /** The identities of the runs that have been reported. */
+    private final Set<String> runs = java.util.Collections.newSetFromMap(bounded(MAX_REMEMBERED));
+
+    /** The number of answered requests so far. */
+    private long answers;
+
+    private CrashEvidence() {}
+
+    /** Returns evidence without any crash. */
+    public static CrashEvidence of() {
+        return new CrashEvidence();
+    }
+
+    /**
+     * Records a run that broke off when its target had just begun to answer it. One that was reported before is
+     * ignored.
+     *
+     * @param crash The run.
+     * @param quarantined Tells which parts are already known to crash targets.
+     */
+    public void crashed(Crash crash, Predicate<String> quarantined) {
+        if (!runs.add(crash.run())) {
+            return;
+        }
+        if (crash.prompt().shared().stream().anyMatch(quarantined)) {
+            explain(crash.target(), crash.brokeAt());
+            return;
+        }
+        if (within(explainedAt.get(crash.target()), crash.brokeAt(), SAME_CRASH_NANOS)) {
+            return;
+        }
+        crashedAt.put(crash.target(), crash.brokeAt());
+        List<String> parts = crash.prompt().shared();
+        for (int position = 0; position < parts.size(); position++) {
+            suspects.computeIfAbsent(parts.get(position), part -> new Suspect(answers))
+                    .add(crash, position);
+        }
+    }
+
+    /**
+     * Records an answered request, which acquits its parts and shows that its target runs.
+     *
+     * @param target The identity of the target.
+     * @param parts The shared parts of the prompt.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    public void answered(String target, List<String> parts, long now) {
+        answers++;
+        if (suspects.isEmpty()) {
+            return;
+        }
+        suspects.keySet().removeAll(new HashSet<>(parts));
+        Long last = crashedAt.get(target);
+        if (last != null && now - last >= LATE_REPORT_NANOS && now - last < RESTART_NANOS) {
+            crashedAt.remove(target);
+            withdraw(target, last);
+        }
+    }
+
+    /**
+     * Returns the part that explains the crashes, if the evidence suffices.
+     *
+     * @param minHolders The number of different instances whose requests must have been broken off.
+     * @param now The current monotonic time in nanoseconds.
+     * @return The part with its evidence.
+     */
+    public Optional<Accusation> accusation(int minHolders, long now) {
+        return suspects.entrySet().stream()
+                .filter(entry -> entry.getValue().accused(minHolders, answers, now))
+                .min(Comparator.<Map.Entry<String, Suspect>>comparingInt(entry -> entry.getValue().runs)
+                        .thenComparing(entry -> -entry.getValue().position))
+                .map(entry -> new Accusation(
+                        entry.getKey(),
+                        List.copyOf(entry.getValue().crashes),
+                        answers - entry.getValue().answersBefore));
+    }
+
+    /** Drops the suspicion of other parts for crashes that an accused part explains. */
+    public void explain(Accusation accusation) {
+        suspects.remove(accusation.part());
+        accusation.crashes().forEach(crash -> explain(crash.target(), crash.brokeAt()));
+    }
+
+    /** Records that a crash of a target is explained by a part that is known. */
+    private void explain(String target, long brokeAt) {
+        explainedAt.put(target, brokeAt);
+        withdraw(target, brokeAt);
+    }
+
+    /** Removes a crash of a target from all suspects. */
+    private void withdraw(String target, long brokeAt) {
+        Iterator<Suspect> iterator = suspects.values().iterator();
+        while (iterator.hasNext()) {
+            Suspect suspect = iterator.next();
+            suspect.crashes.removeIf(
+                    crash -> crash.target().equals(target) && Math.abs(crash.brokeAt() - brokeAt) < SAME_CRASH_NANOS);
+            if (suspect.crashes.isEmpty()) {
+                iterator.remove();
+            }
+        }
+    }
+
+    /** Returns whether a time is known and differs from another one by less than the given nanoseconds. */
+    private static boolean within(@org.jspecify.annotations.Nullable Long time, long other, long nanos) {
+        return time != null && Math.abs(other - time) < nanos;
+    }
+
+    private static <V> Map<String, V> bounded(int size) {
+        return new LinkedHashMap<>() {
+            private static final long serialVersionUID = 1L;
+
+            /** {@inheritDoc} */
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, V> eldest) {
+                return size() > size;
+            }
+        };
+    }
+
+    /**
+     * A part with the evidence against it.
+     *
+     * @param part The identity of the part.
+     * @param crashes The crashes that followed one another.
+     * @param otherAnswers The number of answers to requests without the part meanwhile.
+     */
+    public record Accusation(String part, List<Crash> crashes, long otherAnswers) {
+
+        /** Describes the evidence for people. */
+        public String evidence() {
+            return "crashes of " + distinct(Crash::target) + " under requests of " + distinct(Crash::holder) + ", "
+                    + otherAnswers + " answers without it meanwhile";
+        }
+
+        private Set<String> distinct(Function<Crash, String> property) {
+            return CrashEvidence.distinct(crashes, property);
+        }
+    }
+
+    private static Set<String> distinct(List<Crash> crashes, Function<Crash, String> property) {
+        Set<String> result = new LinkedHashSet<>();
+        crashes.forEach(crash -> result.add(property.apply(crash)));
+        return result;
+    }
+
+    /** A part that no answered request has held since its first crash. */
+    private static final class Suspect {
+
+        /** The crashes that followed one another, in their order. */
+        private final List<Crash> crashes = new ArrayList<>();
+
+        /** The number of answered requests before the first crash. */
+        private final long answersBefore;
+
+        /** The number of broken runs with the part. */
+        private int runs;
+
+        /** The last position at which a prompt has the part. */
+        private int position;
+
+        Suspect(long answersBefore) {
+            this.answersBefore = answersBefore;
+        }
+
+        void add(Crash crash, int at) {
+            runs++;
+            position = Math.max(position, at);
+            boolean sequential = crashes.stream().allMatch(earlier -> crash.sentAt() - earlier.brokeAt() > 0);
+            if (sequential && crashes.size() < MAX_CRASHES) {
+                crashes.add(crash);
+            }
+        }
+
+        boolean accused(int minHolders, long answers, long now) {
+            crashes.removeIf(crash -> now - crash.brokeAt() > RETENTION_NANOS);
+            return crashes.size() >= MIN_CRASHES
+                    && distinct(crashes, crash -> crash.prompt().own()).size() >= MIN_REQUESTS
+                    && distinct(crashes, Crash::holder).size() >= minHolders
+                    && answers - answersBefore >= MIN_OTHER_ANSWERS;
+        }
+    }
+}
--- /dev/null
+++ b/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/CrashEvidenceTest.java
@@ -0,0 +1,145 @@
+package org.tanagermoor.policy.quarantine;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.tanagermoor.policy.prompt.Prompt;
+
+/** Crashes and answers of which the evidence accuses a part of prompts, or none. */
+final class CrashEvidenceTest {
+
+    private static final Prompt DEADLY = new Prompt(List.of("first", "companion", "deadly"), "");
+
+    private final CrashEvidence evidence = CrashEvidence.of();
+
+    private final Set<String> quarantined = new HashSet<>();
+
+    private long now = TimeUnit.SECONDS.toNanos(100);
+
+    private int runs;
+
+    /** The crash of a target breaks off sound requests, too; only the part that no answer holds is accused. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void accusesThePartWithinFiveCrashes(long seed) {
+        Random random = new Random(seed);
+        Optional<CrashEvidence.Accusation> accusation = Optional.empty();
+        int crashes = 0;
+        while (accusation.isEmpty() && crashes < 20) {
+            for (int request = 0; request < 10; request++) {
+                answered("t-" + random.nextInt(100) + "-sound", "first", "thing-" + random.nextInt(50));
+            }
+            long sentAt = now;
+            advance(100);
+            String target = "t-" + crashes++;
+            crashed(target, sentAt, new Prompt(List.of("first", "thing-" + random.nextInt(50)), "o" + runs));
+            crashed(target, sentAt, new Prompt(DEADLY.shared(), "o" + runs));
+            advance(400);
+            accusation = evidence.accusation(2, now);
+        }
+        assertThat(accusation.map(CrashEvidence.Accusation::part), is(Optional.of("deadly")));
+        assertThat(crashes, is(lessThanOrEqualTo(5)));
+        evidence.explain(accusation.orElseThrow());
+        assertThat(evidence.accusation(1, now), is(Optional.empty()));
+    }
+
+    /** What is missing for an accusation: crashes that followed one another, requests, instances, or other answers. */
+    @ParameterizedTest
+    @CsvSource({
+        "3, 500, 3, 2, 3, true",
+        "2, 500, 3, 2, 3, false",
+        "12, 0, 12, 4, 9, false",
+        "4, 500, 1, 2, 3, false",
+        "4, 500, 4, 1, 3, false",
+        "4, 500, 4, 2, 2, false"
+    })
+    void accusesOnlyOnSufficientEvidence(
+            int crashes, long gapMillis, int requests, int holders, int otherAnswers, boolean accused) {
+        for (int crash = 0; crash < crashes; crash++) {
+            long sentAt = now;
+            advance(gapMillis);
+            Prompt prompt = new Prompt(List.of("part"), "own-" + crash % requests);
+            evidence.crashed(
+                    new Crash("r-" + crash, "h-" + crash % holders, "t-" + crash, prompt, sentAt, now),
+                    quarantined::contains);
+            advance(gapMillis);
+        }
+        for (int answer = 0; answer < otherAnswers; answer++) {
+            answered("other", "first");
+        }
+        assertThat(evidence.accusation(2, now).isPresent(), is(accused));
+    }
+
+    /** An answer acquits its parts, and one of a target that was thought to have crashed withdraws the crash. */
+    @ParameterizedTest
+    @CsvSource({"part, other, 600, false", "first, t-2, 600, false", "first, t-2, 100, true", "first, t-2, 2500, true"})
+    void answersAcquit(String answeredPart, String target, long afterMillis, boolean accused) {
+        for (int crash = 0; crash < 3; crash++) {
+            advance(1);
+            long sentAt = now;
+            advance(100);
+            crashed("t-" + crash, sentAt, new Prompt(List.of("part"), "o" + runs));
+        }
+        advance(afterMillis);
+        answered(target, answeredPart);
+        for (int answer = 0; answer < 3; answer++) {
+            answered("other", "first");
+        }
+        assertThat(evidence.accusation(1, now).isPresent(), is(accused));
+    }
+
+    /** Crashes that a part explains which is already held back do not accuse the parts beside it. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void ignoresCrashesThatAreExplained(boolean deadlyFirst) {
+        quarantined.add("deadly");
+        for (int crash = 0; crash < 4; crash++) {
+            long sentAt = now;
+            advance(300);
+            Prompt sound = new Prompt(List.of("first", "companion"), "s" + runs);
+            crashed("t-" + crash, sentAt, deadlyFirst ? new Prompt(DEADLY.shared(), "d" + runs) : sound);
+            crashed("t-" + crash, sentAt, deadlyFirst ? sound : new Prompt(DEADLY.shared(), "d" + runs));
+            answered("other", "elsewhere");
+        }
+        assertThat(evidence.accusation(1, now), is(Optional.empty()));
+    }
+
+    /** The same run is reported to each new dispatcher, and evidence ages. */
+    @ParameterizedTest
+    @CsvSource({"true, 0", "false, 11"})
+    void countsEachRunOnceAndNotForEver(boolean repeated, long ageMinutes) {
+        for (int crash = 0; crash < 3; crash++) {
+            long sentAt = now;
+            advance(300);
+            Prompt prompt = new Prompt(List.of("part"), "own-" + crash);
+            String run = repeated ? "same" : "r-" + crash;
+            evidence.crashed(new Crash(run, "h", "t-" + crash, prompt, sentAt, now), quarantined::contains);
+            answered("other", "first");
+        }
+        advance(TimeUnit.MINUTES.toMillis(ageMinutes));
+        assertThat(evidence.accusation(1, now), is(Optional.empty()));
+    }
+
+    private void crashed(String target, long sentAt, Prompt prompt) {
+        runs++;
+        evidence.crashed(new Crash("r-" + runs, "h-" + runs % 3, target, prompt, sentAt, now), quarantined::contains);
+    }
+
+    private void answered(String target, String... parts) {
+        evidence.answered(target, List.of(parts), now);
+    }
+
+    private void advance(long millis) {
+        now += TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+}
