Test what the dispatcher does with asks whose parts crash targets

Queued and later asks are refused, one trial is let through after a period, and the evidence of the dispatcher before goes on, each run counted once.

--- /dev/null
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/PartGuardTest.java
@@ -0,0 +1,142 @@
+package org.tanagermoor.gateway.dispatch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.tanagermoor.policy.prompt.Prompt;
+import org.tanagermoor.policy.quarantine.Crash;
+
+/** What the dispatcher does with asks whose prompts have a part that crashes targets. */
+final class PartGuardTest extends DispatcherFixture {
+
+    /** Permits from this number on are those of requests with the part. */
+    private static final long FIRST_DEADLY = 1_000;
+
+    private static final int TARGETS = 20;
+
+    private long permits;
+
+    private int crashes;
+
+    /** Replaces the targets by many, since each crash avoids one for a while. */
+    @BeforeEach
+    void manyTargets() {
+        dispatcher.targets(
+                IntStream.range(0, TARGETS)
+                        .mapToObj(number -> target("t-" + number, 1, 0))
+                        .toList(),
+                service -> 0,
+                now);
+        dispatcher.minHolders(2);
+    }
+
+    /** Asks that wait when the part becomes known are refused as well as later ones. */
+    @Test
+    void refusesQueuedAndLaterAsks() {
+        crash(2);
+        answers(1);
+        assertThat(granted(dispatcher.ask(deadly(FIRST_DEADLY + 50), now)), is(true));
+        IntStream.range(1, TARGETS).forEach(place -> sound());
+        assertThat(dispatcher.ask(deadly(FIRST_DEADLY + 51), now), is(Optional.empty()));
+        advance(10);
+        dispatcher.release("y", FIRST_DEADLY + 50, PlaceOutcome.CRASHED, now);
+        assertThat(quarantined, hasSize(1));
+        PlacementDecision later = dispatcher.ask(deadly(FIRST_DEADLY + 52), now).orElseThrow();
+        for (PlacementDecision decision : Arrays.asList(decisions.get(FIRST_DEADLY + 51), later)) {
+            PlacementDecision.Refused refused = (PlacementDecision.Refused) decision;
+            assertThat(refused.reason(), is(PlacementDecision.Reason.QUARANTINED));
+            assertThat(refused.retryAfterMillis(), is(30_000L));
+        }
+    }
+
+    /** After the first period one request is let through; what becomes of it decides on the part. */
+    @ParameterizedTest
+    @CsvSource({"SERVED, false", "CRASHED, true", "ABANDONED, true", "FAILED, true"})
+    void triesThePartOnce(PlaceOutcome outcome, boolean held) {
+        answers(3);
+        crash(3);
+        assertThat(quarantined, hasSize(1));
+        advance(30_000);
+        assertThat(granted(dispatcher.ask(deadly(FIRST_DEADLY + 60), now)), is(true));
+        assertThat(granted(dispatcher.ask(deadly(FIRST_DEADLY + 61), now)), is(false));
+        advance(200);
+        dispatcher.release("y", FIRST_DEADLY + 60, outcome, now);
+        advance(1_000);
+        assertThat(granted(dispatcher.ask(deadly(FIRST_DEADLY + 62), now)), is(!held));
+    }
+
+    /** What the holders saw under the dispatcher before counts at the next one, each run once. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2})
+    void goesOnWithTheEvidenceOfTheDispatcherBefore(int reported) {
+        for (int repetition = 0; repetition < 2; repetition++) {
+            for (int run = 0; run < reported; run++) {
+                long sentAt = now - 5_000_000_000L + run * 1_000_000_000L;
+                dispatcher.crashed(
+                        new Crash("z/" + run, "z", "old-" + run, prompt(500 + run), sentAt, sentAt + 200_000_000L),
+                        now);
+            }
+        }
+        answers(3);
+        crash(2 - reported);
+        assertThat(quarantined, is(empty()));
+        crash(1);
+        assertThat(quarantined, hasSize(1));
+    }
+
+    /** Lets requests with the part crash their targets, one after the other, at two instances in turn. */
+    private void crash(int count) {
+        for (int run = 0; run < count; run++) {
+            long permit = FIRST_DEADLY + permits++;
+            Ask ask = deadly(++crashes % 2 == 0 ? "x" : "y", permit);
+            assertThat(granted(dispatcher.ask(ask, now)), is(true));
+            advance(100);
+            dispatcher.release(ask.holder(), permit, PlaceOutcome.CRASHED, now);
+            advance(100);
+            answers(1);
+        }
+    }
+
+    /** Lets sound requests be answered. */
+    private void answers(int count) {
+        for (int answer = 0; answer < count; answer++) {
+            dispatcher.release("x", sound(), PlaceOutcome.SERVED, now);
+        }
+    }
+
+    /** Occupies a place with a sound request, and returns the number of its permit. */
+    private long sound() {
+        long permit = ++permits;
+        Ask ask = online(permit).withPrompt(new Prompt(List.of("first"), "own-" + permit));
+        assertThat(granted(dispatcher.ask(ask, now)), is(true));
+        return permit;
+    }
+
+    private static Ask deadly(long permit) {
+        return deadly("y", permit);
+    }
+
+    private static Ask deadly(String holder, long permit) {
+        return ask(holder, permit, false, 5_000, "", Set.of()).withPrompt(prompt(permit));
+    }
+
+    private static boolean granted(Optional<PlacementDecision> decision) {
+        return decision.orElseThrow() instanceof PlacementDecision.Granted;
+    }
+
+    private static Prompt prompt(long permit) {
+        return new Prompt(List.of("first", "deadly"), "own-" + permit);
+    }
+}
