Accept crashes that a single instance reports if its other requests are answered

Change: the second instance was to guard against one with a bad link. Answers to the same instance meanwhile guard as well, and do not depend on who owns a job or on the size of the fleet.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
@@ -42,9 +42,6 @@
      */
     private static final long REPORT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
-    /** The number of instances whose requests must have been broken off before a part of prompts is held back. */
-    private static final int MIN_HOLDERS = 2;
-
     /** The timeout of a recall sent to the holder of a permit. */
     private static final java.time.Duration RECALL_TIMEOUT = java.time.Duration.ofMillis(500);
 
@@ -180,7 +177,6 @@
                 dispatcher.forget(holder, now);
             }
         }
-        dispatcher.minHolders(liveness.running(now).isEmpty() ? 1 : MIN_HOLDERS);
         dispatcher.tick(now);
         scheduleCheck();
     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -204,14 +204,6 @@
         parts.crashed(crash, now);
     }
 
-    /**
-     * Sets the number of instances whose requests must have been broken off before a part is held back, so that one
-     * instance with a bad link accuses nothing.
-     */
-    public void minHolders(int value) {
-        parts.minHolders(value);
-    }
-
     /**
      * Replaces the known permits of a holder by those that it reports. Permits granted recently are kept, since the
      * holder may not have received them yet.
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
@@ -23,18 +23,11 @@
     /** Receives the new records of parts. */
     private final Consumer<QuarantineEntry> onChange;
 
-    /** The number of instances whose requests must have been broken off before a part is held back. */
-    private int minHolders = 1;
-
     PartGuard(Quarantine quarantine, Consumer<QuarantineEntry> onChange) {
         this.quarantine = quarantine;
         this.onChange = onChange;
     }
 
-    void minHolders(int value) {
-        minHolders = value;
-    }
-
     /** Returns whether any part is or was held back. */
     boolean anyHeldBack() {
         return !quarantine.isEmpty();
@@ -62,7 +55,7 @@
     void ended(Grant grant, PlaceOutcome outcome, long now) {
         if (outcome == PlaceOutcome.SERVED) {
             List<String> parts = grant.prompt.shared();
-            evidence.answered(grant.target, parts, now);
+            evidence.answered(grant.holder, grant.target, parts, now);
             quarantine.answered(parts, grant.sentAt, now).forEach(onChange);
             accuse(now);
         } else if (outcome == PlaceOutcome.CRASHED) {
@@ -79,9 +72,9 @@
 
     /** Holds back the parts that the evidence accuses. */
     private void accuse(long now) {
-        for (Optional<CrashEvidence.Accusation> accusation = evidence.accusation(minHolders, now);
+        for (Optional<CrashEvidence.Accusation> accusation = evidence.accusation(now);
                 accusation.isPresent();
-                accusation = evidence.accusation(minHolders, now)) {
+                accusation = evidence.accusation(now)) {
             evidence.explain(accusation.get());
             onChange.accept(
                     quarantine.hold(accusation.get().part(), accusation.get().evidence(), now));
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/CrashEvidence.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/CrashEvidence.java
@@ -32,7 +32,8 @@
 
     /**
      * The number of answers to requests without the part since its first crash: without any, targets fail for a reason
-     * that has nothing to do with the part.
+     * that has nothing to do with the part. If only one instance reports the crashes, the answers must be its own, as
+     * its link may be bad; all items of a job run at one instance.
      */
     static final int MIN_OTHER_ANSWERS = 3;
 
@@ -75,6 +76,9 @@
     /** The number of answered requests so far. */
     private long answers;
 
+    /** The number of answered requests so far, by the instance that sent them. */
+    private final Map<String, Long> answersByHolder = bounded(MAX_REMEMBERED);
+
     private CrashEvidence() {}
 
     /** Returns evidence without any crash. */
@@ -103,7 +107,7 @@
         crashedAt.put(crash.target(), crash.brokeAt());
         List<String> parts = crash.prompt().shared();
         for (int position = 0; position < parts.size(); position++) {
-            suspects.computeIfAbsent(parts.get(position), part -> new Suspect(answers))
+            suspects.computeIfAbsent(parts.get(position), part -> new Suspect(answers, answersOf(crash.holder())))
                     .add(crash, position);
         }
     }
@@ -111,12 +115,14 @@
     /**
      * Records an answered request, which acquits its parts and shows that its target runs.
      *
+     * @param holder The instance that sent the request.
      * @param target The identity of the target.
      * @param parts The shared parts of the prompt.
      * @param now The current monotonic time in nanoseconds.
      */
-    public void answered(String target, List<String> parts, long now) {
+    public void answered(String holder, String target, List<String> parts, long now) {
         answers++;
+        answersByHolder.merge(holder, 1L, Long::sum);
         if (suspects.isEmpty()) {
             return;
         }
@@ -131,19 +137,29 @@
     /**
      * Returns the part that explains the crashes, if the evidence suffices.
      *
-     * @param minHolders The number of different instances whose requests must have been broken off.
      * @param now The current monotonic time in nanoseconds.
      * @return The part with its evidence.
      */
-    public Optional<Accusation> accusation(int minHolders, long now) {
+    public Optional<Accusation> accusation(long now) {
+        suspects.values().removeIf(suspect -> suspect.aged(now));
         return suspects.entrySet().stream()
-                .filter(entry -> entry.getValue().accused(minHolders, answers, now))
+                .filter(entry -> entry.getValue().accused(otherAnswers(entry.getValue())))
                 .min(Comparator.<Map.Entry<String, Suspect>>comparingInt(entry -> entry.getValue().runs)
                         .thenComparing(entry -> -entry.getValue().position))
                 .map(entry -> new Accusation(
-                        entry.getKey(),
-                        List.copyOf(entry.getValue().crashes),
-                        answers - entry.getValue().answersBefore));
+                        entry.getKey(), List.copyOf(entry.getValue().crashes), otherAnswers(entry.getValue())));
+    }
+
+    /** Returns the number of answers that show that targets, and the link of a single holder, work without the part. */
+    private long otherAnswers(Suspect suspect) {
+        Set<String> holders = distinct(suspect.crashes, Crash::holder);
+        return holders.size() == 1
+                ? answersOf(holders.iterator().next()) - suspect.holderAnswersBefore
+                : answers - suspect.answersBefore;
+    }
+
+    private long answersOf(String holder) {
+        return answersByHolder.getOrDefault(holder, 0L);
     }
 
     /** Drops the suspicion of other parts for crashes that an accused part explains. */
@@ -223,14 +239,18 @@
         /** The number of answered requests before the first crash. */
         private final long answersBefore;
 
+        /** The same of the instance that reported the first crash. */
+        private final long holderAnswersBefore;
+
         /** The number of broken runs with the part. */
         private int runs;
 
         /** The last position at which a prompt has the part. */
         private int position;
 
-        Suspect(long answersBefore) {
+        Suspect(long answersBefore, long holderAnswersBefore) {
             this.answersBefore = answersBefore;
+            this.holderAnswersBefore = holderAnswersBefore;
         }
 
         void add(Crash crash, int at) {
@@ -242,12 +262,16 @@
             }
         }
 
-        boolean accused(int minHolders, long answers, long now) {
+        /** Drops the crashes that have aged, and returns whether none is left. */
+        boolean aged(long now) {
             crashes.removeIf(crash -> now - crash.brokeAt() > RETENTION_NANOS);
+            return crashes.isEmpty();
+        }
+
+        boolean accused(long otherAnswers) {
             return crashes.size() >= MIN_CRASHES
                     && distinct(crashes, crash -> crash.prompt().own()).size() >= MIN_REQUESTS
-                    && distinct(crashes, Crash::holder).size() >= minHolders
-                    && answers - answersBefore >= MIN_OTHER_ANSWERS;
+                    && otherAnswers >= MIN_OTHER_ANSWERS;
         }
     }
 }
