Track only parts with visible ASCII identities, and share StartedProcess between tests

A part's identity comes from callers and becomes the key of a row, which is bounded in bytes. StartedProcess moves to the stand-ins, for a soak of the gateway; it keeps a bounded part of the output.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/FleetState.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/FleetState.java
@@ -113,6 +113,9 @@
 
     /** Returns the targets that have said that they are leaving and whose entries are still there. */
     public Collection<TargetEntry> leaving() {
+        if (leaving.isEmpty()) {
+            return List.of();
+        }
         return leaving.keySet().stream()
                 .map(targets::get)
                 .filter(Objects::nonNull)
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/prompt/Prompt.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/prompt/Prompt.java
@@ -17,14 +17,14 @@
     /** The maximum number of shared parts that are kept, which bounds the state for each request. */
     private static final int MAX_SHARED_PARTS = 32;
 
-    /** The maximum number of characters of a part's identity; a part with a longer one is left out. */
+    /** The maximum number of characters of a part's identity. */
     private static final int MAX_PART_CHARS = 128;
 
     /**
      * Returns the prompt that is composed of the given parts.
      *
      * @param parts The identities of the parts in their order, the request's own part last.
-     * @return The prompt, without parts that exceed the limits.
+     * @return The prompt, without parts that exceed the limits or whose identity is not visible ASCII text.
      */
     public static Prompt of(List<String> parts) {
         if (parts.isEmpty()) {
@@ -44,6 +44,8 @@
     }
 
     private static boolean fits(String part) {
-        return !part.isEmpty() && part.length() <= MAX_PART_CHARS;
+        return !part.isEmpty()
+                && part.length() <= MAX_PART_CHARS
+                && part.chars().allMatch(character -> character > ' ' && character <= '~');
     }
 }
--- a/tanagermoor-session/src/test/java/org/tanagermoor/session/Fleet.java
+++ b/tanagermoor-session/src/test/java/org/tanagermoor/session/Fleet.java
@@ -18,6 +18,7 @@
 import org.tanagermoor.http.Digests;
 import org.tanagermoor.http.Json;
 import org.tanagermoor.standin.link.ReservedAddress;
+import org.tanagermoor.standin.process.StartedProcess;
 
 /** Starts and controls a stand-in platform, stand-in targets, relays and instances, each in a separate process. */
 final class Fleet implements AutoCloseable {
@@ -206,7 +207,7 @@
         ExitCode code = Tool.run(
                 toolArguments,
                 new ToolContext(
-                        StartedProcess.environment(String.join(",", all), key),
+                        environment(String.join(",", all), key),
                         new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)),
                         new PrintStream(out, true, StandardCharsets.UTF_8),
                         new PrintStream(err, true, StandardCharsets.UTF_8)));
@@ -272,4 +273,9 @@
 
     /** The exit code and the output of a command. */
     record Result(ExitCode code, String out, String err) {}
+
+    private static Map<String, String> environment(String instances, String key) {
+        return Map.of(
+                "TANAGERMOOR_INSTANCES", instances, "TANAGERMOOR_OPERATOR_KEY", "operator", "TANAGERMOOR_KEY", key);
+    }
 }
--- a/tanagermoor-session/src/test/java/org/tanagermoor/session/StartedProcess.java
+++ b/tanagermoor-standin/src/main/java/org/tanagermoor/standin/process/StartedProcess.java
@@ -1,28 +1,33 @@
-package org.tanagermoor.session;
+package org.tanagermoor.standin.process;
 
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 /** An instance or a stand-in that a test runs as a separate process, with the class path of the test. */
-final class StartedProcess implements AutoCloseable {
+public final class StartedProcess implements AutoCloseable {
 
     private static final long TIMEOUT_SECONDS = 60;
 
+    /** The maximum number of lines of the output that are kept. */
+    private static final int MAX_OUTPUT_LINES = 20_000;
+
     private final String name;
 
     private final Process process;
 
     private final CompletableFuture<String> ready = new CompletableFuture<>();
 
-    private final List<String> outputLines = new ArrayList<>();
+    /** The last lines of the output. Guarded by itself. */
+    private final Deque<String> outputLines = new ArrayDeque<>();
 
     private StartedProcess(String name, Process process) {
         this.name = name;
@@ -32,7 +37,15 @@
         reader.start();
     }
 
-    static StartedProcess start(String name, String mainClass, List<String> arguments) {
+    /**
+     * Starts a process.
+     *
+     * @param name A name for messages.
+     * @param mainClass The class whose main method runs, from the class path of this process.
+     * @param arguments Its arguments.
+     * @return The process, which may not be ready yet.
+     */
+    public static StartedProcess start(String name, String mainClass, List<String> arguments) {
         List<String> command = new ArrayList<>(List.of(
                 ProcessHandle.current().info().command().orElse("java"),
                 "-Xmx160m",
@@ -54,7 +67,7 @@
     }
 
     /** Waits for the output line that starts with {@code ready} and returns the rest of that line. */
-    String awaitReady() {
+    public String awaitReady() {
         try {
             return ready.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         } catch (Exception exception) {
@@ -63,19 +76,22 @@
     }
 
     /** Kills the process without a planned stop, as a crash of the machine would. */
-    void kill() {
+    public void kill() {
         process.destroyForcibly();
         join();
     }
 
     /** Requests a planned stop and waits until the process has ended. */
-    void terminate() {
+    public void terminate() {
         process.destroy();
         join();
     }
 
-    /** Sends {@code STOP} or {@code CONT}, which suspends or resumes the process, to simulate a long pause. */
-    void signal(String signal) {
+    /**
+     * Sends a signal, for example {@code STOP} or {@code CONT}, which suspends or resumes the process to simulate a
+     * long pause.
+     */
+    public void signal(String signal) {
         try {
             new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
                     .start()
@@ -87,16 +103,19 @@
         }
     }
 
-    boolean isRunning() {
+    /** Returns whether the process has not ended. */
+    public boolean isRunning() {
         return process.isAlive();
     }
 
-    String output() {
+    /** Returns the last lines of its output, with line feeds between them. */
+    public String output() {
         synchronized (outputLines) {
             return String.join("\n", outputLines);
         }
     }
 
+    /** {@inheritDoc} */
     @Override
     public void close() {
         if (process.isAlive()) {
@@ -115,27 +134,27 @@
         }
     }
 
+    private void add(String line) {
+        synchronized (outputLines) {
+            outputLines.add(line);
+            if (outputLines.size() > MAX_OUTPUT_LINES) {
+                outputLines.remove();
+            }
+        }
+    }
+
     private void readOutput() {
         try (BufferedReader reader =
                 new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
             for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-                synchronized (outputLines) {
-                    outputLines.add(line);
-                }
+                add(line);
                 if (line.startsWith("ready")) {
                     ready.complete(line.substring("ready".length()).trim());
                 }
             }
         } catch (IOException exception) {
-            synchronized (outputLines) {
-                outputLines.add(exception.toString());
-            }
+            add(exception.toString());
         }
         ready.completeExceptionally(new IllegalStateException("the process ended"));
     }
-
-    static Map<String, String> environment(String instances, String key) {
-        return Map.of(
-                "TANAGERMOOR_INSTANCES", instances, "TANAGERMOOR_OPERATOR_KEY", "operator", "TANAGERMOOR_KEY", key);
-    }
 }
