--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/CrashEvidence.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/CrashEvidence.java
@@ -1,6 +1,8 @@
 package org.tanagermoor.policy.quarantine;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -10,9 +12,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Finds the part of a prompt that crashes each target that begins to answer it. Designed for few such requests among
@@ -47,19 +49,19 @@
     private static final int MAX_REMEMBERED = 1_024;
 
     /** The age at which a crash is dropped, in nanoseconds. */
-    private static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
+    private static final long RETENTION_NANOS = Duration.ofMinutes(10).toNanos();
 
     /** The time within which a target crashes only once, in nanoseconds: it needs longer to start again. */
-    private static final long SAME_CRASH_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final long SAME_CRASH_NANOS = Duration.ofSeconds(2).toNanos();
 
     /**
      * How late the report of an answer may be that was complete before its target crashed, in nanoseconds. A target
      * that answers later, but before it can have started again, did not crash.
      */
-    private static final long LATE_REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+    private static final long LATE_REPORT_NANOS = Duration.ofMillis(250).toNanos();
 
     /** The time before which a crashed target cannot have answered again, in nanoseconds. */
-    private static final long RESTART_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+    private static final long RESTART_NANOS = Duration.ofMillis(1_500).toNanos();
 
     /** The suspected parts in the order in which they were first suspected. */
     private final Map<String, Suspect> suspects = bounded(MAX_SUSPECTS);
@@ -71,7 +73,7 @@
     private final Map<String, Long> explainedAt = bounded(MAX_REMEMBERED);
 
     /** The identities of the runs that have been reported. */
-    private final Set<String> runs = java.util.Collections.newSetFromMap(bounded(MAX_REMEMBERED));
+    private final Set<String> runs = Collections.newSetFromMap(bounded(MAX_REMEMBERED));
 
     /** The number of answered requests so far. */
     private long answers;
@@ -188,7 +190,7 @@
     }
 
     /** Returns whether a time is known and differs from another one by less than the given nanoseconds. */
-    private static boolean within(@org.jspecify.annotations.Nullable Long time, long other, long nanos) {
+    private static boolean within(@Nullable Long time, long other, long nanos) {
         return time != null && Math.abs(other - time) < nanos;
     }
 
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/Quarantine.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/Quarantine.java
@@ -1,12 +1,12 @@
 package org.tanagermoor.policy.quarantine;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.tanagermoor.policy.prompt.Prompt;
 
 /**
@@ -16,7 +16,7 @@
 public final class Quarantine {
 
     /** The time until the first trial, in nanoseconds; it doubles with each further one. */
-    static final long FIRST_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(30);
+    static final long FIRST_PERIOD_NANOS = Duration.ofSeconds(30).toNanos();
 
     /** The maximum number of doublings. */
     private static final int MAX_DOUBLINGS = 5;
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/QuarantineEntry.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/QuarantineEntry.java
@@ -1,6 +1,6 @@
 package org.tanagermoor.policy.quarantine;
 
-import java.util.concurrent.TimeUnit;
+import java.time.Duration;
 
 /**
  * What is known of a part that was found to crash targets.
@@ -20,7 +20,7 @@
      * The time for which an overdue trial, or the record of a release, is kept, in nanoseconds: longer than instances
      * can be out of touch.
      */
-    static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
+    static final long RETENTION_NANOS = Duration.ofMinutes(10).toNanos();
 
     /** Returns whether the record is to be forgotten at the given monotonic time in nanoseconds. */
     public boolean aged(long now) {
