Install the hangup handler before the settings are read

The signal ends a Java process without a handler, and the handler was installed when all plug-ins had started.

Change: it is installed first; until the settings have been read, a hangup needs no action, as they are read anyway. A hangup before the main method still ends the process.

--- a/tanagermoor-kernel/src/main/java/org/tanagermoor/kernel/daemon/Daemon.java
+++ b/tanagermoor-kernel/src/main/java/org/tanagermoor/kernel/daemon/Daemon.java
@@ -10,6 +10,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
+import org.jspecify.annotations.Nullable;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.event.EventOutput;
 import org.tanagermoor.kernel.event.KernelEvent;
@@ -60,14 +62,24 @@
             printHelp(System.out);
             return;
         }
+        AtomicReference<@Nullable Daemon> running = new AtomicReference<>();
+        HangupSignal.handle(() -> reload(running.get()));
         Either<List<String>, Daemon> daemon = of(flags, System.getenv());
         if (daemon.isLeft()) {
             daemon.getLeft().forEach(problem -> System.err.println("tanagermoord: " + problem));
             System.exit(EXIT_INVALID_SETTINGS);
         }
+        running.set(daemon.get());
         run(daemon.get());
     }
 
+    /** Reads the settings file again, unless it has yet to be read for the first time. */
+    private static void reload(@Nullable Daemon daemon) {
+        if (daemon != null) {
+            daemon.reload();
+        }
+    }
+
     /**
      * Reads the settings and creates a daemon that is not started.
      *
@@ -186,7 +198,6 @@
                             stopped.countDown();
                         },
                         "stop"));
-        HangupSignal.handle(daemon::reload);
         if (daemon.context.settings().value(DaemonSettings.LOG_FORMAT) == DaemonSettings.LogFormat.TEXT) {
             System.out.println("ready");
         }
