Count the answers that acquit an instance's link from its own first crash

Found when reading the change: if the crash that a part was first suspected for is withdrawn (its target answered on), the answers of the only instance left were counted from what another instance had answered before. Aged suspects were also searched at each answer.

CrashEvidenceTest.countsAnswersFromTheFirstCrashThatIsLeft failed before in one of its two cases.

--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/CrashEvidence.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/CrashEvidence.java
@@ -109,8 +109,8 @@
         crashedAt.put(crash.target(), crash.brokeAt());
         List<String> parts = crash.prompt().shared();
         for (int position = 0; position < parts.size(); position++) {
-            suspects.computeIfAbsent(parts.get(position), part -> new Suspect(answers, answersOf(crash.holder())))
-                    .add(crash, position);
+            suspects.computeIfAbsent(parts.get(position), part -> new Suspect())
+                    .add(new Observation(crash, answers, answersOf(crash.holder())), position);
         }
     }
 
@@ -143,21 +143,21 @@
      * @return The part with its evidence.
      */
     public Optional<Accusation> accusation(long now) {
-        suspects.values().removeIf(suspect -> suspect.aged(now));
         return suspects.entrySet().stream()
-                .filter(entry -> entry.getValue().accused(otherAnswers(entry.getValue())))
+                .filter(entry -> entry.getValue().crashedOften(now))
+                .filter(entry -> otherAnswers(entry.getValue()) >= MIN_OTHER_ANSWERS)
                 .min(Comparator.<Map.Entry<String, Suspect>>comparingInt(entry -> entry.getValue().runs)
                         .thenComparing(entry -> -entry.getValue().position))
-                .map(entry -> new Accusation(
-                        entry.getKey(), List.copyOf(entry.getValue().crashes), otherAnswers(entry.getValue())));
+                .map(entry ->
+                        new Accusation(entry.getKey(), entry.getValue().crashes(), otherAnswers(entry.getValue())));
     }
 
     /** Returns the number of answers that show that targets, and the link of a single holder, work without the part. */
     private long otherAnswers(Suspect suspect) {
-        Set<String> holders = distinct(suspect.crashes, Crash::holder);
-        return holders.size() == 1
-                ? answersOf(holders.iterator().next()) - suspect.holderAnswersBefore
-                : answers - suspect.answersBefore;
+        Observation first = suspect.observations.get(0);
+        return distinct(suspect.crashes(), Crash::holder).size() == 1
+                ? answersOf(first.crash.holder()) - first.holderAnswersBefore
+                : answers - first.answersBefore;
     }
 
     private long answersOf(String holder) {
@@ -181,9 +181,10 @@
         Iterator<Suspect> iterator = suspects.values().iterator();
         while (iterator.hasNext()) {
             Suspect suspect = iterator.next();
-            suspect.crashes.removeIf(
-                    crash -> crash.target().equals(target) && Math.abs(crash.brokeAt() - brokeAt) < SAME_CRASH_NANOS);
-            if (suspect.crashes.isEmpty()) {
+            suspect.observations.removeIf(
+                    observation -> observation.crash.target().equals(target)
+                            && Math.abs(observation.crash.brokeAt() - brokeAt) < SAME_CRASH_NANOS);
+            if (suspect.observations.isEmpty()) {
                 iterator.remove();
             }
         }
@@ -232,17 +233,20 @@
         return result;
     }
 
+    /**
+     * A crash that accuses a part.
+     *
+     * @param crash The run that broke off.
+     * @param answersBefore The number of answered requests before it.
+     * @param holderAnswersBefore The number of those that the holder of the run had sent.
+     */
+    private record Observation(Crash crash, long answersBefore, long holderAnswersBefore) {}
+
     /** A part that no answered request has held since its first crash. */
     private static final class Suspect {
 
         /** The crashes that followed one another, in their order. */
-        private final List<Crash> crashes = new ArrayList<>();
-
-        /** The number of answered requests before the first crash. */
-        private final long answersBefore;
-
-        /** The same of the instance that reported the first crash. */
-        private final long holderAnswersBefore;
+        private final List<Observation> observations = new ArrayList<>();
 
         /** The number of broken runs with the part. */
         private int runs;
@@ -250,30 +254,26 @@
         /** The last position at which a prompt has the part. */
         private int position;
 
-        Suspect(long answersBefore, long holderAnswersBefore) {
-            this.answersBefore = answersBefore;
-            this.holderAnswersBefore = holderAnswersBefore;
-        }
-
-        void add(Crash crash, int at) {
+        void add(Observation added, int at) {
             runs++;
             position = Math.max(position, at);
-            boolean sequential = crashes.stream().allMatch(earlier -> crash.sentAt() - earlier.brokeAt() > 0);
-            if (sequential && crashes.size() < MAX_CRASHES) {
-                crashes.add(crash);
+            observations.removeIf(earlier -> added.crash.brokeAt() - earlier.crash.brokeAt() > RETENTION_NANOS);
+            boolean sequential =
+                    observations.stream().allMatch(earlier -> added.crash.sentAt() - earlier.crash.brokeAt() > 0);
+            if (sequential && observations.size() < MAX_CRASHES) {
+                observations.add(added);
             }
         }
 
-        /** Drops the crashes that have aged, and returns whether none is left. */
-        boolean aged(long now) {
-            crashes.removeIf(crash -> now - crash.brokeAt() > RETENTION_NANOS);
-            return crashes.isEmpty();
+        List<Crash> crashes() {
+            return observations.stream().map(Observation::crash).toList();
         }
 
-        boolean accused(long otherAnswers) {
-            return crashes.size() >= MIN_CRASHES
-                    && distinct(crashes, crash -> crash.prompt().own()).size() >= MIN_REQUESTS
-                    && otherAnswers >= MIN_OTHER_ANSWERS;
+        /** Returns whether enough crashes under different requests are recent enough to accuse the part. */
+        boolean crashedOften(long now) {
+            return observations.size() >= MIN_CRASHES
+                    && now - observations.get(0).crash.brokeAt() <= RETENTION_NANOS
+                    && distinct(crashes(), crash -> crash.prompt().own()).size() >= MIN_REQUESTS;
         }
     }
 }
--- a/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/CrashEvidenceTest.java
+++ b/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/CrashEvidenceTest.java
@@ -105,6 +105,28 @@
         assertThat(evidence.accusation(now).isPresent(), is(accused));
     }
 
+    /** If the crash that one instance saw is withdrawn, the answers to the other one count from its own first crash. */
+    @ParameterizedTest
+    @CsvSource({"2, false", "3, true"})
+    void countsAnswersFromTheFirstCrashThatIsLeft(int answers, boolean accused) {
+        for (int answer = 0; answer < 5; answer++) {
+            answered("other", "first");
+        }
+        for (int crash = 0; crash < 4; crash++) {
+            long sentAt = now;
+            advance(150);
+            Prompt prompt = new Prompt(List.of("part"), "own-" + crash);
+            String holder = crash == 0 ? "withdrawn" : "h-0";
+            evidence.crashed(new Crash("r-" + crash, holder, "t-" + crash, prompt, sentAt, now), quarantined::contains);
+            advance(150);
+        }
+        evidence.answered("elsewhere", "t-0", List.of("first"), now);
+        for (int answer = 0; answer < answers; answer++) {
+            answered("other", "first");
+        }
+        assertThat(evidence.accusation(now).isPresent(), is(accused));
+    }
+
     /** Crashes that a part explains which is already held back do not accuse the parts beside it. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
