Refuse fewer callers during a planned stop

- Callers may keep an answer of the directory for 1 s instead of 2 s, so that the last of them have a new one 3 s after the signal.
- Jobs are accepted until no caller comes: their answer takes a round trip to the store, and at the end of the process who has none yet gets 504.
- The process ends when no caller can come, all answers are written and the jobs are handed over: some 4 s after the signal instead of 5 s.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -250,9 +250,12 @@
         return quarantine;
     }
 
-    /** Returns whether no request is accepted any more, and all have been answered. Safe for use by any thread. */
+    /**
+     * Returns whether no request is accepted any more, all have been answered, and the jobs are handed over. Safe for
+     * use by any thread.
+     */
     boolean drained() {
-        return edge.drained();
+        return edge.drained() && jobs.handedOver();
     }
 
     /** Runs an action at an interval in milliseconds. An exception is logged and does not end the repetition. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/Edge.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/Edge.java
@@ -40,8 +40,11 @@
  */
 public final class Edge {
 
-    /** How long callers may keep an answer of the directory, in seconds. */
-    private static final int DIRECTORY_TTL_SECONDS = 2;
+    /**
+     * How long callers may keep an answer of the directory, in seconds. An instance that stops refuses long requests of
+     * those who keep an older answer.
+     */
+    private static final int DIRECTORY_TTL_SECONDS = 1;
 
     /** The multiple of that time for which some callers keep an answer. */
     private static final int MAX_TTL_FACTOR = 3;
@@ -240,6 +243,10 @@
         if (team.isEmpty() && configuration.hasTeams() && !route.get().anonymousAllowed()) {
             return refuse(responder, head.id(), Refusal.of(Refusal.Kind.UNAUTHENTICATED, "the key is unknown"));
         }
+        String name = team.map(FleetTeam::name).orElse("");
+        if (route.get().kind() == RouteKind.BATCH) {
+            return submit(head, request, route.get(), name, responder);
+        }
         long limitMillis = route.get().limitMillis(head.deadlineMillis());
         if (!servingEnd.admits(
                 TimeUnit.MILLISECONDS.toNanos(limitMillis), context.time().nanos())) {
@@ -248,10 +255,6 @@
                     head.id(),
                     Refusal.ofLeaving("the answer may take " + limitMillis + " ms, which is too long"));
         }
-        String name = team.map(FleetTeam::name).orElse("");
-        if (route.get().kind() == RouteKind.BATCH) {
-            return submit(head, request, route.get(), name, responder);
-        }
         if (head.id().isEmpty()) {
             return refuse(responder, "", Refusal.of(Refusal.Kind.MALFORMED, "the request has no identity"));
         }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
@@ -66,6 +66,9 @@
     /** Whether the jobs of this instance are handed over, also those whose acceptance or take-over is in progress. */
     private boolean handingOver;
 
+    /** Whether no job is left to be handed over; read by the thread that performs a planned stop. */
+    private volatile boolean handedOver;
+
     /** Monotonic time of the start in nanoseconds. */
     private final long startedAt;
 
@@ -123,6 +126,7 @@
         List.copyOf(runs.values()).forEach(run -> run.check(now));
         if (handingOver) {
             runs.values().forEach(JobRun::handOver);
+            handedOver = runs.isEmpty();
         }
         if (liveness.stopping()) {
             return;
@@ -144,9 +148,15 @@
     /** Hands over all jobs of this instance to other instances. */
     public void handOver() {
         handingOver = true;
+        handedOver = runs.isEmpty();
         runs.values().forEach(JobRun::handOver);
     }
 
+    /** Returns whether no job is left to be handed over in a planned stop. Safe for use by any thread. */
+    public boolean handedOver() {
+        return handedOver;
+    }
+
     /**
      * Stores a job and starts it. Refuses it if too many tokens of the team are waiting, or if it could not be stored.
      * A job that is already known is answered as accepted.
