Read what is stored of a job to its end

Cause: JobStore.results reads at most 200 rows, and an output above 45,000 bytes takes several. JobRun took what one read returned for all results, found fewer than the row of the job says, and read the same again every 300 ms without end. The same read after a lost answer of the store (JobRun.dropRecorded) never ended either.

Change: TableService.scan returns a RowPage, which says where to read on, so that a part cannot be mistaken for the whole; scanAll reads to the end. Of recorded results a new owner needs only the identities of the items: they are read page by page (48 rows), and the outputs are not kept.

A step that fails in a way that does not pass by itself is logged once for each cause, counted (batch.job-steps-failed) and repeated ever more seldom; a job whose deletion fails always no longer comes before others.

--- a/tanagermoor-batch/src/main/java/org/tanagermoor/batch/steward/JobScan.java
+++ b/tanagermoor-batch/src/main/java/org/tanagermoor/batch/steward/JobScan.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.tanagermoor.batch.store.JobKey;
 import org.tanagermoor.batch.store.JobStore;
@@ -72,12 +73,11 @@
      * @param result The page, or the failure to read it.
      * @return The jobs of the page.
      */
-    List<JobKey> acceptPage(Either<Failure, List<JobStore.IndexEntry>> result) {
+    List<JobKey> acceptPage(Either<Failure, JobStore.IndexPage> result) {
         reading = false;
-        List<JobStore.IndexEntry> page = result.getOrElse(List.of());
-        boolean more = page.size() == PAGE_SIZE;
-        after = more ? page.get(PAGE_SIZE - 1).position() : "";
-        due = due || more;
-        return page.stream().map(JobStore.IndexEntry::key).toList();
+        JobStore.IndexPage page = result.getOrElse(new JobStore.IndexPage(List.of(), Optional.empty()));
+        after = page.next().orElse("");
+        due = due || page.next().isPresent();
+        return page.entries().stream().map(JobStore.IndexEntry::key).toList();
     }
 }
--- a/tanagermoor-batch/src/main/java/org/tanagermoor/batch/steward/StewardMessage.java
+++ b/tanagermoor-batch/src/main/java/org/tanagermoor/batch/steward/StewardMessage.java
@@ -1,7 +1,6 @@
 package org.tanagermoor.batch.steward;
 
 import io.vavr.control.Either;
-import java.util.List;
 import java.util.Optional;
 import org.tanagermoor.batch.proto.Ask;
 import org.tanagermoor.batch.proto.BatchAnswer;
@@ -79,7 +78,7 @@
      *
      * @param result The entries of the page, or the failure to read it.
      */
-    record PageScanned(Either<Failure, List<JobStore.IndexEntry>> result) implements StewardMessage {}
+    record PageScanned(Either<Failure, JobStore.IndexPage> result) implements StewardMessage {}
 
     /**
      * An attempt to take over a job ended.
--- a/tanagermoor-batch/src/main/java/org/tanagermoor/batch/store/JobStore.java
+++ b/tanagermoor-batch/src/main/java/org/tanagermoor/batch/store/JobStore.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.tanagermoor.batch.BatchMetrics;
 import org.tanagermoor.batch.proto.IndexRow;
 import org.tanagermoor.batch.proto.JobRow;
@@ -72,9 +73,9 @@
     public Mono<Either<Failure, List<JobRecord>>> list(String team, String after, int limit) {
         String prefix = team + "/";
         return platform.scan(StorageNames.JOBS, prefix, after.isEmpty() ? "" : prefix + after, limit)
-                .map(result -> result.flatMap(rows -> {
+                .map(result -> result.flatMap(page -> {
                     List<JobRecord> jobs = new ArrayList<>();
-                    for (Row row : rows) {
+                    for (Row row : page.rows()) {
                         Either<Failure, JobRecord> job = parse(row);
                         if (job.isLeft()) {
                             return Either.left(job.getLeft());
@@ -90,9 +91,9 @@
      *
      * @param after The position after which the page starts, or an empty string.
      * @param limit The maximum number of jobs to return.
-     * @return The entries by position, or a failure.
+     * @return The entries by position and where to read on, or a failure.
      */
-    public Mono<Either<Failure, List<IndexEntry>>> active(String after, int limit) {
+    public Mono<Either<Failure, IndexPage>> active(String after, int limit) {
         return index(StorageNames.ACTIVE, after, limit);
     }
 
@@ -103,7 +104,7 @@
      * @return The entries by position, or a failure.
      */
     public Mono<Either<Failure, List<IndexEntry>>> ended(int limit) {
-        return index(StorageNames.ENDED, "", limit);
+        return index(StorageNames.ENDED, "", limit).map(result -> result.map(IndexPage::entries));
     }
 
     /**
@@ -193,7 +194,7 @@
      */
     public Mono<Either<Failure, List<Upload>>> uploads(int limit) {
         return platform.scan(StorageNames.UPLOADS, "", "", limit)
-                .map(result -> result.map(rows -> rows.stream()
+                .map(result -> result.map(page -> page.rows().stream()
                         .flatMap(row -> MeteredPlatform.parse(UploadRow.parser(), row.value())
                                 .toJavaStream()
                                 .map(value -> new Upload(
@@ -290,16 +291,19 @@
      *
      * @param after The position after which the page starts.
      * @param limit The maximum number of entries to return.
-     * @return The entries in order, or a failure.
+     * @return The entries in order and where to read on, or a failure.
      */
-    private Mono<Either<Failure, List<IndexEntry>>> index(String table, String after, int limit) {
+    private Mono<Either<Failure, IndexPage>> index(String table, String after, int limit) {
         return platform.scan(table, "", after, limit)
-                .map(result -> result.map(rows -> rows.stream()
-                        .flatMap(row -> MeteredPlatform.parse(IndexRow.parser(), row.value())
-                                .toJavaStream()
-                                .map(value ->
-                                        new IndexEntry(row.key().key(), JobKey.of(value.getTeam(), value.getKey()))))
-                        .toList()));
+                .map(result -> result.map(page -> new IndexPage(
+                        page.rows().stream().flatMap(JobStore::entries).toList(), page.next())));
+    }
+
+    /** Returns the entry of an index row; none if it cannot be parsed. */
+    private static Stream<IndexEntry> entries(Row row) {
+        return MeteredPlatform.parse(IndexRow.parser(), row.value())
+                .toJavaStream()
+                .map(value -> new IndexEntry(row.key().key(), JobKey.of(value.getTeam(), value.getKey())));
     }
 
     /**
@@ -346,4 +350,12 @@
      * @param key The key of the job.
      */
     public record IndexEntry(String position, JobKey key) {}
+
+    /**
+     * A part of an index of jobs.
+     *
+     * @param entries The entries, ordered by position.
+     * @param next The position after which to read on, or empty if there are no further entries.
+     */
+    public record IndexPage(List<IndexEntry> entries, Optional<String> next) {}
 }
--- a/tanagermoor-batch/src/main/java/org/tanagermoor/batch/store/MeteredPlatform.java
+++ b/tanagermoor-batch/src/main/java/org/tanagermoor/batch/store/MeteredPlatform.java
@@ -16,6 +16,7 @@
 import org.tanagermoor.store.table.CommitResult;
 import org.tanagermoor.store.table.Row;
 import org.tanagermoor.store.table.RowKey;
+import org.tanagermoor.store.table.RowPage;
 import org.tanagermoor.store.table.TableService;
 import org.tanagermoor.store.table.Transaction;
 import reactor.core.publisher.Mono;
@@ -61,15 +62,27 @@
      *
      * @param after The key after which the scan starts.
      * @param limit The maximum number of rows to return; at most {@link #PAGE_SIZE} are returned.
-     * @return The rows in order, or a failure.
+     * @return The rows in order and where to read on, or a failure.
      */
-    Mono<Either<Failure, List<Row>>> scan(String table, String prefix, String after, int limit) {
+    Mono<Either<Failure, RowPage>> scan(String table, String prefix, String after, int limit) {
         return catchDefects(() -> {
             metrics.tableReads().mark();
             return tables.scan(table, prefix, after, Math.min(limit, PAGE_SIZE));
         });
     }
 
+    /**
+     * Reads all rows of a table whose keys start with a prefix, page by page.
+     *
+     * @return The rows in order, or a failure.
+     */
+    Mono<Either<Failure, List<Row>>> scanAll(String table, String prefix) {
+        return catchDefects(() -> {
+            metrics.tableReads().mark();
+            return tables.scanAll(table, prefix);
+        });
+    }
+
     /**
      * Commits a transaction. If the answer is lost, a row that the transaction puts tells whether the transaction
      * took effect.
--- a/tanagermoor-batch/src/main/java/org/tanagermoor/batch/store/ProgressStore.java
+++ b/tanagermoor-batch/src/main/java/org/tanagermoor/batch/store/ProgressStore.java
@@ -32,7 +32,7 @@
      */
     public Mono<Either<Failure, ProgressLog>> read(JobRecord job) {
         String prefix = StorageNames.rows(job.key(), job.row().getUpload());
-        return AsyncResults.then(platform.scan(StorageNames.PROGRESS, prefix, "", PAGE_SIZE), rows -> {
+        return AsyncResults.then(platform.scanAll(StorageNames.PROGRESS, prefix), rows -> {
             ProgressLog log = ProgressLog.EMPTY;
             for (Row row : rows) {
                 Either<Failure, ProgressPart> part = MeteredPlatform.parse(ProgressPart.parser(), row.value());
@@ -128,7 +128,8 @@
      * @return Always {@code true}, or a failure.
      */
     private Mono<Either<Failure, Boolean>> deletePages(String table, String prefix) {
-        return AsyncResults.then(platform.scan(table, prefix, "", PAGE_SIZE), rows -> {
+        return AsyncResults.then(platform.scan(table, prefix, "", PAGE_SIZE), page -> {
+            List<Row> rows = page.rows();
             if (rows.isEmpty()) {
                 return AsyncResults.right(true);
             }
--- a/tanagermoor-batch/src/test/java/org/tanagermoor/batch/FakePlatform.java
+++ b/tanagermoor-batch/src/test/java/org/tanagermoor/batch/FakePlatform.java
@@ -15,6 +15,7 @@
 import org.tanagermoor.store.table.CommitResult;
 import org.tanagermoor.store.table.Row;
 import org.tanagermoor.store.table.RowKey;
+import org.tanagermoor.store.table.RowPage;
 import org.tanagermoor.store.table.TableService;
 import org.tanagermoor.store.table.Transaction;
 import reactor.core.publisher.Mono;
@@ -181,7 +182,7 @@
             }
 
             @Override
-            public Mono<Either<Failure, List<Row>>> scan(String table, String prefix, String after, int limit) {
+            public Mono<Either<Failure, RowPage>> scan(String table, String prefix, String after, int limit) {
                 return FakePlatform.this.read(client, () -> tables.scan(table, prefix, after, limit));
             }
 
--- a/tanagermoor-batch/src/test/java/org/tanagermoor/batch/store/JobStoreTest.java
+++ b/tanagermoor-batch/src/test/java/org/tanagermoor/batch/store/JobStoreTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -21,7 +22,9 @@
 import org.tanagermoor.policy.batch.Outcomes;
 import org.tanagermoor.policy.batch.Progress;
 import org.tanagermoor.store.object.ObjectStore;
+import org.tanagermoor.store.table.RowKey;
 import org.tanagermoor.store.table.TableService;
+import org.tanagermoor.store.table.Transaction;
 
 class JobStoreTest {
 
@@ -31,7 +34,9 @@
 
     private final BatchMetrics metrics = BatchMetrics.of(new MetricRegistry());
 
-    private final JobStore store = JobStore.of(TableService.InMemory.of(), objects, metrics);
+    private final TableService tables = TableService.InMemory.of();
+
+    private final JobStore store = JobStore.of(tables, objects, metrics);
 
     private Upload upload;
 
@@ -93,7 +98,7 @@
                 .setEndedMillis(9)
                 .build();
         assertThat(store.end(job, other).block().get().isPresent(), is(false));
-        assertThat(store.active("", 10).block().get(), hasSize(0));
+        assertThat(store.active("", 10).block().get().entries(), hasSize(0));
         assertThat(store.ended(10).block().get(), hasSize(1));
     }
 
@@ -116,6 +121,42 @@
         assertThat(read.version(), is(log.version()));
     }
 
+    /** Progress beyond the rows of one read was lost when another steward took the job over. */
+    @ParameterizedTest
+    @ValueSource(ints = {499, 500, 501, 1_000, 1_001})
+    void readsProgressOfManyRows(int parts) {
+        ProgressLog log = ProgressLog.EMPTY;
+        for (int part = 0; part < parts; part++) {
+            int first = part * 64;
+            log = store.progress()
+                    .record(
+                            job,
+                            log,
+                            IntStream.range(first, first + 64)
+                                    .mapToObj(JobStoreTest::entry)
+                                    .toList(),
+                            Optional.empty())
+                    .block()
+                    .get()
+                    .orElseThrow();
+        }
+        ProgressLog read = store.progress().read(job).block().get();
+        assertThat(read.entries(), hasSize(parts * 64));
+        assertThat(read.part(), is(parts - 1));
+        assertThat(read.version(), is(log.version()));
+    }
+
+    /** A page of the index with an entry that cannot be read counted as the last one, and later jobs were not found. */
+    @Test
+    void readsOnAfterAnUnreadableEntry() {
+        tables.commit(Transaction.EMPTY.withPut(RowKey.of("batch-active", "!"), new byte[] {1}))
+                .block();
+        JobStore.IndexPage page = store.active("", 1).block().get();
+        assertThat(page.entries(), hasSize(0));
+        assertThat(page.next(), is(Optional.of("!")));
+        assertThat(store.active("!", 1).block().get().entries(), hasSize(1));
+    }
+
     @Test
     void sweepsAnUploadOnlyBeforeItIsAccepted() {
         Upload late = store.startUpload(JobKey.of("alder", "late"), "second", 1_000)
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayMetrics.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayMetrics.java
@@ -26,6 +26,9 @@
 
     private final Counter recordedResults;
 
+    /** Failed attempts to read or write the state of jobs. */
+    private final Counter failedJobSteps;
+
     /** How long items of jobs waited for each of their places. */
     private final Timer itemWait;
 
@@ -43,6 +46,7 @@
         exchangesFailed = registry.counter("online.exchanges-failed");
         jobsAccepted = registry.counter("batch.jobs-accepted");
         recordedResults = registry.counter("batch.results-recorded");
+        failedJobSteps = registry.counter("batch.job-steps-failed");
         itemWait = registry.timer("batch.item-wait");
         itemsInTime = registry.counter("batch.items-in-time");
         itemsLate = registry.counter("batch.items-late");
@@ -98,6 +102,11 @@
         recordedResults.inc(count);
     }
 
+    /** Counts a failed attempt to read or write the state of a job. */
+    public void jobStepFailed() {
+        failedJobSteps.inc();
+    }
+
     /**
      * Records that an item got a place.
      *
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRetention.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRetention.java
@@ -1,7 +1,10 @@
 package org.tanagermoor.gateway.job;
 
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -35,6 +38,9 @@
     /** Identities of the jobs that are being deleted, or were deleted and are still known on this instance. */
     private final Set<String> deleting = new HashSet<>();
 
+    /** Number of failed deletions of the jobs that are still known, by identity. */
+    private final Map<String, Integer> failures = new HashMap<>();
+
     /** Number of deletions in progress. */
     private int pendingDeletions;
 
@@ -57,18 +63,20 @@
     void tick(Collection<JobView> jobs, Predicate<JobRecord> responsible, long now, long nowMillis) {
         deleting.removeIf(
                 id -> jobs.stream().noneMatch(view -> id(view.record()).equals(id)));
+        failures.keySet()
+                .removeIf(
+                        id -> jobs.stream().noneMatch(view -> id(view.record()).equals(id)));
         if (now - failedAt < RETRY_DELAY_NANOS) {
             return;
         }
-        for (JobView view : jobs) {
-            JobRecord job = view.record();
-            if (pendingDeletions < MAX_CONCURRENT_DELETIONS
-                    && expired(job, nowMillis)
-                    && !deleting.contains(id(job))
-                    && responsible.test(job)) {
-                delete(job);
-            }
-        }
+        // Jobs whose deletion has failed come last, so that one that always fails does not hold up the others.
+        jobs.stream()
+                .map(JobView::record)
+                .filter(job -> expired(job, nowMillis) && !deleting.contains(id(job)) && responsible.test(job))
+                .sorted(Comparator.comparing(job -> failures.getOrDefault(id(job), 0)))
+                .limit(Math.max(0, MAX_CONCURRENT_DELETIONS - pendingDeletions))
+                .toList()
+                .forEach(this::delete);
     }
 
     /** Returns whether a job has ended and its retention has passed, even if the clocks of instances differ. */
@@ -86,6 +94,7 @@
                     pendingDeletions--;
                     if (result.isLeft()) {
                         failedAt = context.time().nanos();
+                        failures.merge(id(job), 1, Integer::sum);
                         deleting.remove(id(job));
                         context.events()
                                 .record(
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.tanagermoor.gateway.GatewayEvent;
@@ -28,9 +29,6 @@
     /** Time for which results are collected for one commit, in milliseconds. */
     private static final long COMMIT_DELAY_MILLIS = 60;
 
-    /** Delay before a failed read or write is retried, in milliseconds. */
-    private static final long RETRY_DELAY_MILLIS = 300;
-
     /** Maximum number of results in one commit: commits hold 100 rows, and a result can take several. */
     private static final int MAX_COMMIT_RESULTS = 16;
 
@@ -72,6 +70,12 @@
     /** The job as it was last recorded. */
     private JobRecord job;
 
+    /** Failures to read what is recorded of the job. */
+    private final StepFailures readFailures;
+
+    /** Failures to record results and progress. */
+    private final StepFailures writeFailures;
+
     /** Whether the items have been loaded. */
     private boolean loaded;
 
@@ -96,6 +100,8 @@
         this.changeListener = changeListener;
         startedAt = context.time().nanos();
         progressWrittenAt = startedAt;
+        readFailures = new StepFailures(context, id(), "resume");
+        writeFailures = new StepFailures(context, id(), "record");
     }
 
     String id() {
@@ -131,7 +137,7 @@
 
     /** Starts a job that was just accepted, whose items are known. */
     void start(JobContent content) {
-        load(content, List.of(), Map.of());
+        load(content, Set.of(), Map.of());
     }
 
     /** Starts a job that was taken over: reads its items, results and progress from the store. */
@@ -141,7 +147,7 @@
         }
         Mono.zip(
                         context.store().content(id()),
-                        context.store().results(id(), 0),
+                        context.store().recordedItems(id()),
                         context.store().progress(id()))
                 .subscribe(read -> context.loop().execute(() -> resumed(read.getT1(), read.getT2(), read.getT3())));
     }
@@ -149,23 +155,19 @@
     /** Loads what was read of a job that was taken over, or schedules another read after a failure. */
     private void resumed(
             Either<Failure, JobContent> content,
-            Either<Failure, List<JobResult>> results,
+            Either<Failure, List<String>> recordedItems,
             Either<Failure, Map<String, ItemProgress>> progress) {
-        boolean behind = results.isRight() && results.get().size() < job.row().getRecorded();
-        Object failure = content.isLeft() ? content.getLeft() : results.isLeft() ? results.getLeft() : progress;
-        if (content.isLeft() || results.isLeft() || progress.isLeft() || behind) {
-            context.events()
-                    .record(
-                            GatewayEvent.JOB_WRITE_FAILED,
-                            "job",
-                            id(),
-                            "step",
-                            "resume",
-                            "failure",
-                            behind ? "the results that were read are older than the row of the job" : failure);
-            context.loop().schedule(this::resume, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        if (stopped) {
+            return;
+        }
+        Either<Failure, List<String>> recorded = complete(recordedItems);
+        if (content.isLeft() || recorded.isLeft() || progress.isLeft()) {
+            Failure failure =
+                    content.isLeft() ? content.getLeft() : recorded.isLeft() ? recorded.getLeft() : progress.getLeft();
+            context.loop().schedule(this::resume, readFailures.add(failure), TimeUnit.MILLISECONDS);
         } else {
-            load(content.get(), results.get(), progress.get());
+            readFailures.clear();
+            load(content.get(), Set.copyOf(recorded.get()), progress.get());
             context.events()
                     .record(
                             GatewayEvent.JOB_RESUMED,
@@ -182,6 +184,18 @@
         }
     }
 
+    /** Returns the recorded items that were read, or a failure if there are fewer than the row of the job says. */
+    private Either<Failure, List<String>> complete(Either<Failure, List<String>> recordedItems) {
+        int expected = job.row().getRecorded();
+        return recordedItems.flatMap(items -> items.size() >= expected
+                ? Either.right(items)
+                : Either.left(Failure.notRun(
+                        Failure.Kind.CORRUPT,
+                        "job.results",
+                        Failure.LOCAL,
+                        "found " + items.size() + " of " + expected + " recorded results")));
+    }
+
     /** Adopts a newer row of the job, recorded by another writer. */
     void update(JobRecord record) {
         if (record.version() > job.version() && !writing) {
@@ -262,13 +276,10 @@
     }
 
     /** Creates the items without a result from their recorded progress, and asks for places for them. */
-    private void load(JobContent content, List<JobResult> results, Map<String, ItemProgress> progress) {
-        if (stopped) {
-            return;
-        }
+    private void load(JobContent content, Set<String> recordedItems, Map<String, ItemProgress> progress) {
         for (JobItem item : content.getItemsList()) {
             tokensByItem.put(item.getId(), item.getTokens());
-            if (results.stream().noneMatch(result -> result.item().equals(item.getId()))) {
+            if (!recordedItems.contains(item.getId())) {
                 ItemProgress recorded = progress.getOrDefault(item.getId(), ItemProgress.getDefaultInstance());
                 items.put(item.getId(), new ItemRun(context, this, item, recorded));
             }
@@ -342,11 +353,10 @@
             return;
         }
         if (outcome.isLeft()) {
-            context.events()
-                    .record(GatewayEvent.JOB_WRITE_FAILED, "job", id(), "step", "record", "failure", outcome.getLeft());
-            scheduleWrite(RETRY_DELAY_MILLIS);
+            scheduleWrite(writeFailures.add(outcome.getLeft()));
             return;
         }
+        writeFailures.clear();
         JobRecord record = outcome.get();
         if (!record.row().equals(after)) {
             adopt(record);
@@ -413,29 +423,33 @@
             stop();
         } else if (advanced) {
             writing = true;
-            context.store().results(id(), 0).subscribe(read -> context.loop().execute(() -> dropRecorded(read)));
+            readRecorded();
         } else if (!unrecorded.isEmpty() || handingOver) {
             scheduleWrite(0);
         }
     }
 
-    /** Drops the results that turned out to be recorded already. Reads again if the read failed or is outdated. */
-    private void dropRecorded(Either<Failure, List<JobResult>> read) {
-        writing = false;
-        if (read.isLeft() || read.get().size() < job.row().getRecorded()) {
-            writing = true;
-            context.loop()
-                    .schedule(
-                            () -> context.store()
-                                    .results(id(), 0)
-                                    .subscribe(next -> context.loop().execute(() -> dropRecorded(next))),
-                            RETRY_DELAY_MILLIS,
-                            TimeUnit.MILLISECONDS);
+    /** Reads which results are recorded, and drops those that this instance has not yet recorded itself. */
+    private void readRecorded() {
+        if (!stopped) {
+            context.store()
+                    .recordedItems(id())
+                    .subscribe(read -> context.loop().execute(() -> dropRecorded(complete(read))));
+        }
+    }
+
+    /** Drops the results that turned out to be recorded already. Reads again after a failure. */
+    private void dropRecorded(Either<Failure, List<String>> recorded) {
+        if (recorded.isLeft()) {
+            context.loop().schedule(this::readRecorded, readFailures.add(recorded.getLeft()), TimeUnit.MILLISECONDS);
             return;
         }
-        for (JobResult result : read.get()) {
-            unrecorded.removeIf(waiting -> waiting.item().equals(result.item()));
-            ItemRun item = items.remove(result.item());
+        writing = false;
+        readFailures.clear();
+        Set<String> recordedItems = Set.copyOf(recorded.get());
+        unrecorded.removeIf(waiting -> recordedItems.contains(waiting.item()));
+        for (String recordedItem : recordedItems) {
+            ItemRun item = items.remove(recordedItem);
             if (item != null) {
                 item.stop();
             }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobStore.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobStore.java
@@ -20,6 +20,7 @@
 import org.tanagermoor.store.table.CommitResult;
 import org.tanagermoor.store.table.Row;
 import org.tanagermoor.store.table.RowKey;
+import org.tanagermoor.store.table.RowPage;
 import org.tanagermoor.store.table.TableService;
 import org.tanagermoor.store.table.Transaction;
 import reactor.core.publisher.Mono;
@@ -48,8 +49,11 @@
      */
     private static final int MAX_PART_BYTES = 45_000;
 
-    /** Maximum number of rows of one read. */
-    private static final int MAX_READ_ROWS = 200;
+    /** Number of rows of results that are read at once, unless one result takes more. */
+    private static final int RESULT_PAGE_ROWS = 48;
+
+    /** Maximum number of rows of one result. */
+    private static final int MAX_RESULT_ROWS = 1_000;
 
     /** Maximum number of rows that one commit deletes: commits hold 100 entries, one of which is the condition. */
     private static final int MAX_DELETED_ROWS = 90;
@@ -180,9 +184,9 @@
         return tables.scan(from.get(0), job.row().getId() + "/", "", MAX_DELETED_ROWS)
                 .flatMap(found -> andThen(
                         found,
-                        rows -> rows.isEmpty()
+                        page -> page.rows().isEmpty()
                                 ? deleteRows(job, from.subList(1, from.size()))
-                                : delete(job, rows.stream().map(Row::key).toList())
+                                : delete(job, page.rows().stream().map(Row::key).toList())
                                         .flatMap(deleted -> andThen(deleted, gone -> deleteRows(job, from)))));
     }
 
@@ -231,16 +235,47 @@
     }
 
     /**
-     * Reads as many results of a job as one read holds.
+     * Reads some of the recorded results of a job.
      *
      * @param job The identity of the job.
      * @param from The position of the first result.
-     * @return The results that were read completely, or a failure.
+     * @return The results, at least one if there is any, or a failure.
      */
-    public Mono<Either<Failure, List<JobResult>>> results(String job, int from) {
+    public Mono<Either<Failure, ResultPage>> results(String job, int from) {
+        return results(job, from, RESULT_PAGE_ROWS);
+    }
+
+    private Mono<Either<Failure, ResultPage>> results(String job, int from, int rows) {
         String after = from == 0 ? "" : job + "/" + position(from - 1) + "/~";
-        return tables.scan(table(RESULTS_TABLE, job), job + "/", after, MAX_READ_ROWS)
-                .map(result -> result.flatMap(JobStore::join));
+        return tables.scan(table(RESULTS_TABLE, job), job + "/", after, rows)
+                .map(result -> result.flatMap(JobStore::join))
+                .flatMap(result -> result.isRight() && result.get().holdsNoResult() && rows < MAX_RESULT_ROWS
+                        ? results(job, from, MAX_RESULT_ROWS)
+                        : Mono.just(result));
+    }
+
+    /**
+     * Reads which items of a job have a recorded result. Their outputs are read page by page and not kept.
+     *
+     * @param job The identity of the job.
+     * @return The identities of the items in the order of their positions, or a failure.
+     */
+    public Mono<Either<Failure, List<String>>> recordedItems(String job) {
+        return recordedItems(job, List.of());
+    }
+
+    private Mono<Either<Failure, List<String>>> recordedItems(String job, List<String> before) {
+        return results(job, before.size()).flatMap(result -> {
+            if (result.isLeft()) {
+                return Mono.just(Either.left(result.getLeft()));
+            }
+            List<String> items = new ArrayList<>(before);
+            result.get().results().forEach(recorded -> items.add(recorded.item()));
+            if (result.get().holdsNoResult()) {
+                return Mono.just(Either.left(failure("job.results", "a result takes more rows than one read holds")));
+            }
+            return result.get().last() ? Mono.just(Either.right(items)) : recordedItems(job, items);
+        });
     }
 
     /**
@@ -250,8 +285,7 @@
      * @return The progress by item, or a failure.
      */
     public Mono<Either<Failure, Map<String, ItemProgress>>> progress(String job) {
-        return tables.scan(table(PROGRESS_TABLE, job), job + "/", "", MAX_READ_ROWS)
-                .map(result -> result.flatMap(JobStore::progress));
+        return tables.scanAll(table(PROGRESS_TABLE, job), job + "/").map(result -> result.flatMap(JobStore::progress));
     }
 
     /** Returns whether the output of an item fits into one row. */
@@ -289,13 +323,13 @@
     }
 
     /** Joins the rows of results. Omits the last result if the read may have ended within it. */
-    private static Either<Failure, List<JobResult>> join(List<Row> rows) {
+    private static Either<Failure, ResultPage> join(RowPage page) {
         List<JobResult> results = new ArrayList<>();
         String position = "";
         @Nullable ResultPart head = null;
         ByteString output = ByteString.EMPTY;
         try {
-            for (Row row : rows) {
+            for (Row row : page.rows()) {
                 String key = row.key().key();
                 String at = key.substring(0, key.lastIndexOf('/'));
                 ResultPart part = ResultPart.parseFrom(row.value());
@@ -312,10 +346,10 @@
         } catch (InvalidProtocolBufferException exception) {
             return Either.left(failure("job.results", String.valueOf(exception.getMessage())));
         }
-        if (head != null && rows.size() < MAX_READ_ROWS) {
+        if (head != null && page.last()) {
             results.add(result(head, output));
         }
-        return Either.right(results);
+        return Either.right(new ResultPage(results, page.last()));
     }
 
     private static JobResult result(ResultPart head, ByteString output) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobView.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobView.java
@@ -89,24 +89,32 @@
                 .subscribe(read -> context.loop().execute(() -> loaded(from, read)));
     }
 
-    /** Serves the readers after a read, or refuses them if it failed. */
-    private void loaded(int from, Either<Failure, List<JobResult>> read) {
+    /** Serves the readers after a read, or refuses them if it failed or did not find the results. */
+    private void loaded(int from, Either<Failure, ResultPage> read) {
         loading = false;
         if (read.isLeft()) {
-            Refusal refusal = new Refusal(
-                    Refusal.Kind.UNAVAILABLE, RETRY_DELAY_MILLIS, read.getLeft().toString());
-            List.copyOf(readers).stream()
-                    .filter(reader -> reader.after >= results.size()
-                            && reader.after < record.row().getRecorded())
-                    .forEach(reader -> answer(reader, new JobAnswer.Refused(refusal)));
+            refuseWaiting(read.getLeft().toString());
             return;
         }
         if (from == results.size()) {
-            results.addAll(read.get());
+            results.addAll(read.get().results());
+        }
+        if (read.get().last() && results.size() < record.row().getRecorded()) {
+            refuseWaiting(
+                    "the store has " + results.size() + " of " + record.row().getRecorded() + " results");
         }
         List.copyOf(readers).forEach(this::serve);
     }
 
+    /** Refuses the readers that wait for a recorded result. */
+    private void refuseWaiting(String detail) {
+        Refusal refusal = new Refusal(Refusal.Kind.UNAVAILABLE, RETRY_DELAY_MILLIS, detail);
+        List.copyOf(readers).stream()
+                .filter(reader -> reader.after >= results.size()
+                        && reader.after < record.row().getRecorded())
+                .forEach(reader -> answer(reader, new JobAnswer.Refused(refusal)));
+    }
+
     /** Answers a reader, unless it was answered before. */
     private void answer(Reader reader, JobAnswer answer) {
         if (readers.remove(reader)) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/InstanceTable.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/InstanceTable.java
@@ -23,9 +23,6 @@
 
     private static final String TABLE = "instances";
 
-    /** The maximum number of instances that are read. */
-    private static final int MAX_ROWS = 500;
-
     /** The delay before a failed call is repeated, in milliseconds. */
     private static final long RETRY_MILLIS = 500;
 
@@ -93,7 +90,7 @@
 
     /** Reads the rows of the others. */
     private void read() {
-        tables.scan(TABLE, "", "", MAX_ROWS).subscribe(result -> loop.execute(() -> handleRows(result)));
+        tables.scanAll(TABLE, "").subscribe(result -> loop.execute(() -> handleRows(result)));
     }
 
     /** Adds the instances that were read as candidates. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/quarantine/QuarantineTable.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/quarantine/QuarantineTable.java
@@ -28,9 +28,6 @@
 
     private static final String TABLE = "quarantine";
 
-    /** The maximum number of rows that are read. */
-    private static final int MAX_ROWS = 500;
-
     /** The delay before a failed call is repeated, in milliseconds. */
     private static final long RETRY_MILLIS = 500;
 
@@ -62,7 +59,7 @@
 
     /** Reads the records of all parts; repeated until it succeeds. */
     void read() {
-        tables.scan(TABLE, "", "", MAX_ROWS).subscribe(result -> loop.execute(() -> handleRows(result)));
+        tables.scanAll(TABLE, "").subscribe(result -> loop.execute(() -> handleRows(result)));
     }
 
     /** Writes the record of a part. */
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
@@ -21,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
@@ -51,6 +53,7 @@
 import org.tanagermoor.gateway.member.Liveness;
 import org.tanagermoor.gateway.proto.JobContent;
 import org.tanagermoor.gateway.proto.JobItem;
+import org.tanagermoor.gateway.proto.JobRow;
 import org.tanagermoor.gateway.quarantine.PartQuarantine;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.event.EventRecord;
@@ -63,7 +66,12 @@
 import org.tanagermoor.policy.prompt.Prompt;
 import org.tanagermoor.policy.quarantine.Quarantine;
 import org.tanagermoor.store.object.ObjectStore;
+import org.tanagermoor.store.table.CommitResult;
+import org.tanagermoor.store.table.Row;
+import org.tanagermoor.store.table.RowKey;
+import org.tanagermoor.store.table.RowPage;
 import org.tanagermoor.store.table.TableService;
+import org.tanagermoor.store.table.Transaction;
 import org.tanagermoor.wire.link.Channel;
 import org.tanagermoor.wire.link.PeerHandler;
 import org.tanagermoor.wire.link.PeerLink;
@@ -117,6 +125,9 @@
     /** Keeps the objects of the store. */
     private final ObjectStore objects = ObjectStore.InMemory.of();
 
+    /** The time that a scan of the store takes, in milliseconds. */
+    private long scanDelayMillis;
+
     /** Whether the store fails to delete objects. */
     private boolean deletionFails;
 
@@ -138,7 +149,7 @@
     private Jobs jobs;
 
     JobsTest() {
-        store = JobStore.of(tables, new FailingObjects());
+        store = JobStore.of(new SlowTables(), new FailingObjects());
     }
 
     /** Sets up an instance that is alone and has started long ago. */
@@ -239,8 +250,7 @@
         assertThat(recorded.get(GatewayEvent.JOB_DELETED), contains("j"));
         for (int partition = 0; partition < 8; partition++) {
             for (String table : List.of("jobs", "results", "progress")) {
-                assertThat(
-                        tables.scan(table + "/" + partition, "", "", 1).block().get(), is(empty()));
+                assertThat(tables.scanAll(table + "/" + partition, "").block().get(), is(empty()));
             }
         }
         assertThat(objects.list("", "", 1).block().get(), is(empty()));
@@ -261,14 +271,108 @@
         assertThat(rowExists(), is(true));
     }
 
+    /**
+     * A job whose recorded results do not fit into one read of the store was never resumed: each read returned fewer
+     * results than the row of the job says.
+     *
+     * @param recorded The number of recorded results.
+     * @param rows The number of rows of each of them.
+     * @param interrupted Whether another instance becomes the owner during the recovery, and is lost as well.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "0, 1, false",
+        "47, 1, false",
+        "48, 1, false",
+        "49, 1, false",
+        "199, 1, false",
+        "24, 2, false",
+        "199, 2, false",
+        "199, 2, true",
+        "3, 20, false",
+        "2, 47, false",
+        "2, 48, false",
+        "2, 49, true",
+        "1, 200, false"
+    })
+    void resumesAJobWithManyRecordedRows(int recorded, int rows, boolean interrupted) {
+        String output = "x".repeat((rows - 1) * 45_000 + 1);
+        List<JobItem> items = IntStream.rangeClosed(0, recorded)
+                .mapToObj(item -> JobItem.newBuilder()
+                        .setId(Integer.toString(item))
+                        .setPath("/batch/j")
+                        .build())
+                .toList();
+        JobRecord job = recordJob(items, output);
+        if (interrupted) {
+            scanDelayMillis = 500;
+            advance(300);
+            JobRecord taken = store.read("j").block().get().get();
+            assertThat(taken.row().getOwner(), is(dispatch.self()));
+            JobRow other = taken.row().toBuilder().setOwner("other~8").build();
+            assertThat(store.write(taken, List.of(), other).block().isRight(), is(true));
+            scanDelayMillis = 0;
+        }
+        advance(3_000);
+        assertThat(this.recorded.get(GatewayEvent.JOB_RESUMED), contains("j"));
+        assertThat(this.recorded.get(GatewayEvent.REQUEST_PLACED), hasItem(Integer.toString(recorded)));
+        assertThat(Set.copyOf(this.recorded.get(GatewayEvent.REQUEST_PLACED)), is(Set.of(Integer.toString(recorded))));
+        assertThat(this.recorded.containsKey(GatewayEvent.JOB_WRITE_FAILED), is(false));
+        assertThat(job.row().getRecorded(), is(recorded));
+    }
+
+    /** A job that can never be resumed was read again and again without a word of its cause; others are not affected. */
+    @Test
+    void reportsOnceWhyAJobCannotBeResumed() {
+        List<JobItem> items = List.of(
+                JobItem.newBuilder().setId("0").setPath("/batch/j").build(),
+                JobItem.newBuilder().setId("1").setPath("/batch/j").build());
+        JobRecord job = recordJob(items, "one");
+        JobRow row = job.row().toBuilder().setRecorded(1).setTotal(3).build();
+        assertThat(objects.delete("job-j").block().isRight(), is(true));
+        assertThat(store.write(job, List.of(), row).block().isRight(), is(true));
+        advance(30_000);
+        assertThat(this.recorded.get(GatewayEvent.JOB_WRITE_FAILED), contains("j"));
+        submit("k", 1);
+        advance(1_000);
+        assertThat(this.recorded.get(GatewayEvent.REQUEST_PLACED), hasItem("0"));
+    }
+
+    /** Stores a job of an instance that is gone, whose items but the last have been recorded with an output. */
+    private JobRecord recordJob(List<JobItem> items, String output) {
+        JobRow row = JobRow.newBuilder()
+                .setId("j")
+                .setHost("host")
+                .setPath("/batch/j")
+                .setOwner("gone~7")
+                .setTotal(items.size())
+                .setAcceptedMillis(time.wallMillis())
+                .build();
+        JobContent content = JobContent.newBuilder().addAllItems(items).build();
+        JobRecord job = store.accept(row, content).block().get();
+        for (JobItem item : items.subList(0, items.size() - 1)) {
+            JobRow after = job.row().toBuilder()
+                    .setRecorded(job.row().getRecorded() + 1)
+                    .build();
+            job = store.write(job, List.of(new JobResult(item.getId(), true, output)), after)
+                    .block()
+                    .get();
+        }
+        return job;
+    }
+
     private boolean rowExists() {
         return store.read("j").block().get().isPresent();
     }
 
     /** Submits a job with a number of items. */
     private void submit(int count) {
+        submit("j", count);
+    }
+
+    private void submit(String job, int count) {
         CallHead head =
-                new CallHead("j", "POST", "/batch/j", "/batch/j", "host", null, 0, Prompt.NONE, 0, 0, List.of());
+                new CallHead(job, "POST", "/batch/j", "/batch/j", "host", null, 0, Prompt.NONE, 0, 0, List.of());
         List<JobItem> items = IntStream.range(0, count)
                 .mapToObj(item -> JobItem.newBuilder()
                         .setId(Integer.toString(item))
@@ -294,6 +398,32 @@
         }
     }
 
+    /** Tables whose scans can take a while. */
+    private final class SlowTables implements TableService {
+
+        /** {@inheritDoc} */
+        @Override
+        public Mono<Either<Failure, Optional<Row>>> read(RowKey key) {
+            return tables.read(key);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public Mono<Either<Failure, RowPage>> scan(String table, String prefix, String after, int limit) {
+            Mono<Either<Failure, RowPage>> page = tables.scan(table, prefix, after, limit);
+            return scanDelayMillis == 0
+                    ? page
+                    : Mono.create(sink -> channel.eventLoop()
+                            .schedule(() -> page.subscribe(sink::success), scanDelayMillis, TimeUnit.MILLISECONDS));
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public Mono<Either<Failure, CommitResult>> commit(Transaction transaction) {
+            return tables.commit(transaction);
+        }
+    }
+
     /** An object store that fails to delete objects for a while. */
     private final class FailingObjects implements ObjectStore {
 
--- a/tanagermoor-membership/src/main/java/org/tanagermoor/membership/store/ChangeStore.java
+++ b/tanagermoor-membership/src/main/java/org/tanagermoor/membership/store/ChangeStore.java
@@ -142,7 +142,7 @@
         }
         String after = changeKey(from.version()).key();
         return Steps.then(
-                table.scan(TABLE, CHANGE_PREFIX, after, PAGE_SIZE), rows -> applyChanges(from, rows, version));
+                table.scan(TABLE, CHANGE_PREFIX, after, PAGE_SIZE), page -> applyChanges(from, page.rows(), version));
     }
 
     /**
@@ -280,9 +280,10 @@
         if (version <= 0) {
             return Steps.succeeded(true);
         }
-        return Steps.then(table.scan(TABLE, CHANGE_PREFIX, "", DELETE_BATCH_SIZE), rows -> {
-            List<Row> expired =
-                    rows.stream().filter(row -> changeVersion(row) <= version).toList();
+        return Steps.then(table.scan(TABLE, CHANGE_PREFIX, "", DELETE_BATCH_SIZE), page -> {
+            List<Row> expired = page.rows().stream()
+                    .filter(row -> changeVersion(row) <= version)
+                    .toList();
             return expired.isEmpty()
                     ? Steps.succeeded(true)
                     : Steps.then(table.commit(deletion(expired)), outcome -> deleteChanges(version));
--- a/tanagermoor-membership/src/test/java/org/tanagermoor/membership/FaultyStore.java
+++ b/tanagermoor-membership/src/test/java/org/tanagermoor/membership/FaultyStore.java
@@ -1,7 +1,6 @@
 package org.tanagermoor.membership;
 
 import io.vavr.control.Either;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -11,6 +10,7 @@
 import org.tanagermoor.store.table.CommitResult;
 import org.tanagermoor.store.table.Row;
 import org.tanagermoor.store.table.RowKey;
+import org.tanagermoor.store.table.RowPage;
 import org.tanagermoor.store.table.TableService;
 import org.tanagermoor.store.table.Transaction;
 import reactor.core.publisher.Mono;
@@ -42,7 +42,7 @@
     }
 
     @Override
-    public Mono<Either<Failure, List<Row>>> scan(String name, String prefix, String after, int limit) {
+    public Mono<Either<Failure, RowPage>> scan(String name, String prefix, String after, int limit) {
         return Mono.defer(() ->
                 down ? Mono.just(Either.left(failure(Execution.NOT_RUN))) : table.scan(name, prefix, after, limit));
     }
--- a/tanagermoor-membership/src/test/java/org/tanagermoor/membership/MembershipPluginTest.java
+++ b/tanagermoor-membership/src/test/java/org/tanagermoor/membership/MembershipPluginTest.java
@@ -252,6 +252,7 @@
                 .scan("membership", "change/", "", count)
                 .block()
                 .get()
+                .rows()
                 .forEach(row -> fleet.table
                         .commit(org.tanagermoor.store.table.Transaction.EMPTY.withDelete(row.key()))
                         .block());
--- a/tanagermoor-online/src/test/java/org/tanagermoor/online/FakeTable.java
+++ b/tanagermoor-online/src/test/java/org/tanagermoor/online/FakeTable.java
@@ -1,12 +1,12 @@
 package org.tanagermoor.online;
 
 import io.vavr.control.Either;
-import java.util.List;
 import java.util.Optional;
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.store.table.CommitResult;
 import org.tanagermoor.store.table.Row;
 import org.tanagermoor.store.table.RowKey;
+import org.tanagermoor.store.table.RowPage;
 import org.tanagermoor.store.table.TableService;
 import org.tanagermoor.store.table.Transaction;
 import reactor.core.publisher.Mono;
@@ -32,7 +32,7 @@
     }
 
     @Override
-    public Mono<Either<Failure, List<Row>>> scan(String table, String prefix, String after, int limit) {
+    public Mono<Either<Failure, RowPage>> scan(String table, String prefix, String after, int limit) {
         return rows.scan(table, prefix, after, limit);
     }
 
--- a/tanagermoor-standin/src/main/java/org/tanagermoor/standin/platform/Store.java
+++ b/tanagermoor-standin/src/main/java/org/tanagermoor/standin/platform/Store.java
@@ -106,8 +106,8 @@
                 .fold(
                         failure -> Mono.just(Either.left(failure)),
                         request -> table.scan(request.table(), request.prefix(), request.after(), request.limit())
-                                .map(result ->
-                                        result.map(rows -> Reply.json(Answer.OK, new TableMessages.Rows(rows)))));
+                                .map(result -> result.map(
+                                        page -> Reply.json(Answer.OK, new TableMessages.Rows(page.rows())))));
     }
 
     /**
--- a/tanagermoor-standin/src/test/java/org/tanagermoor/standin/platform/TableServiceTest.java
+++ b/tanagermoor-standin/src/test/java/org/tanagermoor/standin/platform/TableServiceTest.java
@@ -15,6 +15,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -27,6 +28,7 @@
 import org.tanagermoor.store.table.CommitResult;
 import org.tanagermoor.store.table.Row;
 import org.tanagermoor.store.table.RowKey;
+import org.tanagermoor.store.table.RowPage;
 import org.tanagermoor.store.table.TableService;
 import org.tanagermoor.store.table.Transaction;
 import reactor.core.publisher.Flux;
@@ -105,13 +107,30 @@
             }
             commit(table, put(RowKey.of("other", "a0"), "x"));
 
-            List<Row> rows = await(table.scan("jobs", prefix, after, limit)).get();
+            List<Row> rows =
+                    await(table.scan("jobs", prefix, after, limit)).get().rows();
 
             assertThat(
                     String.join(" ", rows.stream().map(row -> row.key().key()).toList()), is(expected));
         }
     }
 
+    /** A read says where to read on unless it has returned all rows, and the whole is read in pages. */
+    @ParameterizedTest
+    @CsvSource({"499, 499", "499, 500", "500, 500", "501, 500", "1001, 1000", "3, 2"})
+    void saysWhereToReadOn(int rows, int limit) {
+        TableService table = TableService.InMemory.of();
+        List<String> keys = IntStream.range(0, rows)
+                .mapToObj(row -> String.format("%04d", row))
+                .toList();
+        keys.forEach(key -> commit(table, put(RowKey.of("jobs", key), key)));
+        RowPage page = await(table.scan("jobs", "", "", limit)).get();
+        assertThat(page.rows().size(), is(Math.min(rows, limit)));
+        assertThat(page.last(), is(rows < limit));
+        List<Row> all = await(table.scanAll("jobs", "")).get();
+        assertThat(all.stream().map(row -> row.key().key()).toList(), is(keys));
+    }
+
     @ParameterizedTest
     @EnumSource
     void aLimitOutOfBoundsIsInvalid(Variant variant) {
--- a/tanagermoor-store/src/main/java/org/tanagermoor/store/table/TableService.java
+++ b/tanagermoor-store/src/main/java/org/tanagermoor/store/table/TableService.java
@@ -28,6 +28,9 @@
  */
 public interface TableService {
 
+    /** The number of rows that {@link #scanAll} reads at once. */
+    int PAGE_ROWS = 500;
+
     /**
      * Reads a single row.
      *
@@ -42,9 +45,37 @@
      * @param prefix The prefix, which may be empty.
      * @param after The key after which the scan starts (exclusive), or an empty string to start at the first key.
      * @param limit The maximum number of rows to return, from 1 to 1,000.
-     * @return The rows, or a failure.
+     * @return The rows and where to read on, or a failure.
      */
-    Mono<Either<Failure, List<Row>>> scan(String table, String prefix, String after, int limit);
+    Mono<Either<Failure, RowPage>> scan(String table, String prefix, String after, int limit);
+
+    /**
+     * Reads all rows of a table whose keys begin with a prefix, in ascending order of their keys, page by page. The
+     * pages are read one after the other, so the rows need not be those of one moment.
+     *
+     * @param table The name of the table.
+     * @param prefix The prefix, which may be empty.
+     * @return All rows, or the failure of any of the reads.
+     */
+    default Mono<Either<Failure, List<Row>>> scanAll(String table, String prefix) {
+        return collect(this, table, prefix, "", List.of());
+    }
+
+    /** Adds the rows after a key to those that were read before. */
+    private static Mono<Either<Failure, List<Row>>> collect(
+            TableService tables, String table, String prefix, String after, List<Row> before) {
+        return tables.scan(table, prefix, after, PAGE_ROWS).flatMap(result -> {
+            if (result.isLeft()) {
+                return Mono.just(Either.left(result.getLeft()));
+            }
+            List<Row> rows = new ArrayList<>(before);
+            rows.addAll(result.get().rows());
+            return result.get()
+                    .next()
+                    .map(next -> collect(tables, table, prefix, next, rows))
+                    .orElseGet(() -> Mono.just(Either.right(rows)));
+        });
+    }
 
     /**
      * Commits a transaction: applies all its writes if all its conditions hold, otherwise none.
@@ -84,10 +115,10 @@
 
         /** {@inheritDoc} */
         @Override
-        public Mono<Either<Failure, List<Row>>> scan(String table, String prefix, String after, int limit) {
+        public Mono<Either<Failure, RowPage>> scan(String table, String prefix, String after, int limit) {
             return Mono.fromSupplier(() -> limit < 1 || limit > MAX_LIMIT
                     ? Either.left(invalidLimit(limit))
-                    : Either.right(rows(table, prefix, after, limit)));
+                    : Either.right(RowPage.of(rows(table, prefix, after, limit), limit)));
         }
 
         /** {@inheritDoc} */
@@ -208,12 +239,12 @@
 
         /** {@inheritDoc} */
         @Override
-        public Mono<Either<Failure, List<Row>>> scan(String table, String prefix, String after, int limit) {
+        public Mono<Either<Failure, RowPage>> scan(String table, String prefix, String after, int limit) {
             byte[] body = Json.write(new TableMessages.Scan(table, prefix, after, limit));
             Call call = Call.idempotent(SCAN_STEP, READS, HttpMethod.POST, "/table/scan", body);
             return client.exchange(call)
                     .map(result -> result.flatMap(answer -> parse(call, TableMessages.Rows.class, answer))
-                            .map(TableMessages.Rows::rows));
+                            .map(found -> RowPage.of(found.rows(), limit)));
         }
 
         /** {@inheritDoc} */
