Count bytes where the store and callers count bytes

Cause: JobRun chose the outputs of one commit by their number of characters. At three bytes a character 400,000 of them are 1.6 MB in base64, where the store takes 1 MB. The refused commit was repeated with the same results.

Change: CommitSize counts entries and encoded bytes as the store does, and CommitContents chooses by it what one commit holds. A commit that is refused for its size is followed by smaller ones, down to one row. A result that no commit holds is written in several: its first row tells how many rows it has, and rows count only once the row of the job includes the result, so that a writer that is lost in between leaves nothing that is read.

The same cause elsewhere: - Answers to readers hold 1 MB: pages were cut, and outputs were limited, by characters; now by the bytes of the answer, escapes included. An output that no reader can receive is run again ever more seldom until its job's time is over, without holding up its neighbours. - Keys have at most 200 bytes: jobs with longer identities were refused with 503 as if a retry helped, and progress of items with long ones was refused with all that was in its commit. Both are refused with 400 at once, and so are two items with one identity, whose job could never end, and items whose path or headers cannot be sent. - Refusals of the store (413 and other 4xx, 507) counted as unknown outcomes; they are known not to have taken effect, and the caller is told so. - Rows of quarantined parts and of instances are short ASCII; one that the store would never take no longer holds up the others. - Own interface: the answer of a target was limited by characters (ItemAnswer). - Submissions, headers and bodies are limited by bytes already. StandInStore refuses what exceeds the published limits of the store.

--- a/tanagermoor-batch/src/main/java/org/tanagermoor/batch/worker/ItemAnswer.java
+++ b/tanagermoor-batch/src/main/java/org/tanagermoor/batch/worker/ItemAnswer.java
@@ -16,7 +16,7 @@
 /** Collects the answer of a target, which is a stream of tokens or one document. Thread-safe. */
 final class ItemAnswer {
 
-    /** Maximum size of an answer: in bytes for a document, in characters for a stream. */
+    /** Maximum size of an answer in bytes. */
     private static final int MAX_ANSWER_BYTES = 4 * 1024 * 1024;
 
     /** HTTP status of an answer that is a stream. */
@@ -34,6 +34,9 @@
     /** Text of a stream that has been received so far, with that of an earlier run. */
     private final StringBuilder text = new StringBuilder();
 
+    /** Number of bytes of this text in UTF-8. */
+    private int textBytes;
+
     private int status;
 
     private boolean streaming;
@@ -84,6 +87,7 @@
         answer.resumedTokens = partial.position().next();
         answer.tokens = answer.resumedTokens;
         answer.text.append(partial.text());
+        answer.textBytes = utf8Bytes(partial.text());
         return answer;
     }
 
@@ -156,7 +160,8 @@
     /** Adds the token of one event of a stream. */
     private void addToken(byte[] bytes) {
         CompletionEvent event = CompletionEvent.read(STEP, bytes);
-        checkLength(text.length() + event.text().length());
+        textBytes += utf8Bytes(event.text());
+        checkLength(textBytes);
         text.append(event.text());
         reason = event.reason();
         tokens++;
@@ -168,6 +173,10 @@
         body.writeBytes(bytes);
     }
 
+    private static int utf8Bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8).length;
+    }
+
     /** Throws a failure if the answer is longer than the maximum. */
     private static void checkLength(int length) {
         if (length > MAX_ANSWER_BYTES) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -179,6 +179,7 @@
                 domain,
                 new HashMap<>(),
                 ItemPace.of(),
+                context.service(CallerProtocol.class)::answerBytes,
                 context.settings().value(GatewayPlugin.JOB_RETENTION));
     }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/CallerProtocol.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/CallerProtocol.java
@@ -48,6 +48,9 @@
     /** Encodes results of a job. */
     FullHttpResponse results(JobPage page);
 
+    /** Returns the number of bytes that an output takes in an answer with results. */
+    int answerBytes(String output);
+
     /** Encodes the answer to a request for the body of an item. */
     FullHttpResponse item(byte[] body);
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/Edge.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/Edge.java
@@ -28,6 +28,7 @@
 import org.tanagermoor.gateway.fleet.Route;
 import org.tanagermoor.gateway.fleet.RouteKind;
 import org.tanagermoor.gateway.job.JobAnswer;
+import org.tanagermoor.gateway.job.JobCheck;
 import org.tanagermoor.gateway.job.Jobs;
 import org.tanagermoor.gateway.member.Instance;
 import org.tanagermoor.gateway.member.Liveness;
@@ -267,10 +268,13 @@
 
     /** Submits a job. */
     private Call submit(CallHead head, FullHttpRequest request, Route route, String team, Responder responder) {
-        Either<String, List<JobItem>> items = context.protocol().items(request.content());
-        if (items.isLeft() || head.id().isEmpty()) {
-            String detail = items.isLeft() ? items.getLeft() : "the job has no identity";
-            return refuse(responder, head.id(), Refusal.of(Refusal.Kind.MALFORMED, detail));
+        Either<String, List<JobItem>> items = context.protocol()
+                .items(request.content())
+                .flatMap(read -> JobCheck.problem(head.id(), read)
+                        .<Either<String, List<JobItem>>>map(Either::left)
+                        .orElseGet(() -> Either.right(read)));
+        if (items.isLeft()) {
+            return refuse(responder, head.id(), Refusal.of(Refusal.Kind.MALFORMED, items.getLeft()));
         }
         JobCall call = pending(responder, MAY_HAVE_RUN);
         jobs.submit(head, route, team, items.get(), answer -> write(responder, answer));
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -54,6 +54,9 @@
     /** Maximum time after which an item whose prompt is held back checks whether it still is, in milliseconds. */
     private static final long MAX_HOLD_MILLIS = 5_000;
 
+    /** Maximum delay before an item runs again whose output was too long, in milliseconds. */
+    private static final long MAX_TOO_LONG_PAUSE_MILLIS = 10_000;
+
     /** Maximum time for which one ask waits for a place, in nanoseconds; the item asks again afterwards. */
     private static final long MAX_WAIT_NANOS = TimeUnit.SECONDS.toNanos(10);
 
@@ -63,12 +66,6 @@
      */
     private static final long MAX_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
-    /**
-     * Maximum number of characters of an output, since readers get 1 MB at once. It also bounds the output of a target
-     * that sends events without end.
-     */
-    private static final int MAX_OUTPUT_CHARS = 900_000;
-
     private final JobContext context;
 
     private final JobRun job;
@@ -80,11 +77,20 @@
     /** Data of the received events. */
     private final StringBuilder output = new StringBuilder();
 
+    /**
+     * Number of bytes of the output in an answer to a reader. The maximum also bounds the output of a target that sends
+     * events without end.
+     */
+    private int answerBytes;
+
     /** Identities of the targets that must not be chosen for the next run. */
     private final Set<String> excluded = new HashSet<>();
 
     private State state = State.IDLE;
 
+    /** Delay before the item runs again after its output has been too long, in milliseconds. */
+    private long tooLongPauseMillis = RETRY_DELAY_MILLIS;
+
     /** Number of the last received event. */
     private long lastEvent;
 
@@ -134,6 +140,7 @@
         this.item = item;
         prompt = PromptCodec.fromMessage(item.getPrompt());
         output.append(recorded.getOutput().toStringUtf8());
+        answerBytes = context.answerBytes().applyAsInt(output.toString());
         lastEvent = recorded.getLastEvent();
         failures = recorded.getFailures();
         recordedEvent = lastEvent;
@@ -373,13 +380,13 @@
                 failExchange("event " + event.number() + " came after event " + lastEvent);
                 return;
             }
-            if (output.length() + event.data().length() >= MAX_OUTPUT_CHARS) {
-                failExchange("the output is longer than a reader can receive");
-                output.setLength(0);
-                lastEvent = 0;
+            String data = lastEvent == 0 ? event.data() : "\n" + event.data();
+            answerBytes += context.answerBytes().applyAsInt(data);
+            if (answerBytes > JobContext.MAX_ANSWER_BYTES) {
+                failTooLong();
                 return;
             }
-            output.append(lastEvent == 0 ? "" : "\n").append(event.data());
+            output.append(data);
             lastEvent = event.number();
             lastReceivedAt = context.time().nanos();
         }
@@ -484,6 +491,23 @@
         }
     }
 
+    /**
+     * Ends the current run, whose output no reader can receive; the item begins anew, at another target. It may be that
+     * only this target adds events without end. Otherwise this is repeated ever more seldom, until the time for the job
+     * is over.
+     */
+    private void failTooLong() {
+        recordFailedRun(
+                "the output is longer than " + JobContext.MAX_ANSWER_BYTES + " bytes, which a reader can receive");
+        excluded.add(targetId());
+        stopExchange();
+        output.setLength(0);
+        answerBytes = 0;
+        lastEvent = 0;
+        retry(PlaceOutcome.FAILED, tooLongPauseMillis);
+        tooLongPauseMillis = Math.min(MAX_TOO_LONG_PAUSE_MILLIS, 2 * tooLongPauseMillis);
+    }
+
     /** Ends the current run, whose target misbehaves or is silent; the item resumes at another target. */
     private void failExchange(String detail) {
         recordFailedRun(detail);
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobContext.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobContext.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.Map;
+import java.util.function.ToIntFunction;
 import org.tanagermoor.gateway.FleetState;
 import org.tanagermoor.gateway.GatewayMetrics;
 import org.tanagermoor.gateway.dispatch.DispatchClient;
@@ -26,6 +27,7 @@
  * @param domain The failure domain of this instance.
  * @param runs The items that wait for a place or have one, by permit.
  * @param pace Estimates how long items run.
+ * @param answerBytes Tells how many bytes an output takes in an answer to a reader.
  * @param retention The time after its acceptance during which an ended job can be read.
  */
 public record JobContext(
@@ -41,4 +43,12 @@
         String domain,
         Map<Long, ItemRun> runs,
         ItemPace pace,
-        Duration retention) {}
+        ToIntFunction<String> answerBytes,
+        Duration retention) {
+
+    /**
+     * Maximum number of bytes of the outputs in one answer to a reader: answers hold 1 MB, with a margin for what
+     * surrounds the outputs.
+     */
+    static final int MAX_ANSWER_BYTES = 980_000;
+}
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
@@ -29,18 +29,6 @@
     /** Time for which results are collected for one commit, in milliseconds. */
     private static final long COMMIT_DELAY_MILLIS = 60;
 
-    /** Maximum number of results in one commit: commits hold 100 rows, and a result can take several. */
-    private static final int MAX_COMMIT_RESULTS = 16;
-
-    /**
-     * Maximum size of the outputs in one commit, in bytes: commits hold 1 MB, and rows grow by a third when they are
-     * encoded.
-     */
-    private static final int MAX_COMMIT_OUTPUT_BYTES = 400_000;
-
-    /** Maximum size of the progress in one commit, in bytes. */
-    private static final int MAX_COMMIT_PROGRESS_BYTES = 200_000;
-
     /** Maximum number of unrecorded results; when it is reached, no further items ask for a place. */
     private static final int MAX_UNRECORDED_RESULTS = 48;
 
@@ -50,9 +38,6 @@
      */
     private static final long PROGRESS_INTERVAL_MILLIS = 1_500;
 
-    /** Maximum number of items whose progress is in one commit: commits hold 100 rows. */
-    private static final int MAX_COMMIT_PROGRESS_ITEMS = 40;
-
     private final JobContext context;
 
     /** Receives the job after each change of its row. */
@@ -76,6 +61,9 @@
     /** Failures to record results and progress. */
     private final StepFailures writeFailures;
 
+    /** What one commit holds; less after the store has refused a commit for its size. */
+    private CommitSize commitLimit = CommitSize.LIMIT;
+
     /** Whether the items have been loaded. */
     private boolean loaded;
 
@@ -147,7 +135,7 @@
         }
         Mono.zip(
                         context.store().content(id()),
-                        context.store().recordedItems(id()),
+                        context.store().recordedItems(job.row()),
                         context.store().progress(id()))
                 .subscribe(read -> context.loop().execute(() -> resumed(read.getT1(), read.getT2(), read.getT3())));
     }
@@ -155,12 +143,11 @@
     /** Loads what was read of a job that was taken over, or schedules another read after a failure. */
     private void resumed(
             Either<Failure, JobContent> content,
-            Either<Failure, List<String>> recordedItems,
+            Either<Failure, List<String>> recorded,
             Either<Failure, Map<String, ItemProgress>> progress) {
         if (stopped) {
             return;
         }
-        Either<Failure, List<String>> recorded = complete(recordedItems);
         if (content.isLeft() || recorded.isLeft() || progress.isLeft()) {
             Failure failure =
                     content.isLeft() ? content.getLeft() : recorded.isLeft() ? recorded.getLeft() : progress.getLeft();
@@ -184,18 +171,6 @@
         }
     }
 
-    /** Returns the recorded items that were read, or a failure if there are fewer than the row of the job says. */
-    private Either<Failure, List<String>> complete(Either<Failure, List<String>> recordedItems) {
-        int expected = job.row().getRecorded();
-        return recordedItems.flatMap(items -> items.size() >= expected
-                ? Either.right(items)
-                : Either.left(Failure.notRun(
-                        Failure.Kind.CORRUPT,
-                        "job.results",
-                        Failure.LOCAL,
-                        "found " + items.size() + " of " + expected + " recorded results")));
-    }
-
     /** Adopts a newer row of the job, recorded by another writer. */
     void update(JobRecord record) {
         if (record.version() > job.version() && !writing) {
@@ -304,16 +279,8 @@
             return;
         }
         progressWrittenAt = context.time().nanos();
-        List<JobResult> results = new ArrayList<>();
-        int bytes = 0;
-        for (JobResult result : unrecorded) {
-            boolean fits = results.size() < MAX_COMMIT_RESULTS
-                    && bytes + result.output().length() <= MAX_COMMIT_OUTPUT_BYTES;
-            if (fits || results.isEmpty()) {
-                results.add(result);
-                bytes += result.output().length();
-            }
-        }
+        CommitContents contents = CommitContents.choose(job.row(), unrecorded, progress, commitLimit);
+        List<JobResult> results = contents.results();
         long waiting = job.row().getTokensWaiting()
                 - results.stream()
                         .mapToLong(result -> tokensByItem.getOrDefault(result.item(), 0L))
@@ -325,37 +292,26 @@
                 .setOwner(lastWrite ? "" : job.row().getOwner())
                 .build();
         context.store()
-                .write(job, results, progress, after)
-                .subscribe(written -> context.loop().execute(() -> written(results, progress, after, written)));
+                .write(job, contents, after)
+                .subscribe(written -> context.loop().execute(() -> written(contents, after, written)));
     }
 
-    /** Returns the unrecorded progress of items, as much as one commit holds beside results. */
+    /** Returns the unrecorded progress of items. */
     private List<ItemProgress> progress() {
-        List<ItemProgress> progress = new ArrayList<>();
-        int bytes = 0;
-        for (ItemRun item : items.values()) {
-            ItemProgress next = item.progress().orElse(null);
-            if (next != null
-                    && progress.size() < MAX_COMMIT_PROGRESS_ITEMS
-                    && bytes + next.getOutput().size() <= MAX_COMMIT_PROGRESS_BYTES) {
-                progress.add(next);
-                bytes += next.getOutput().size();
-            }
-        }
-        return progress;
+        return items.values().stream().flatMap(item -> item.progress().stream()).toList();
     }
 
     /** Handles the outcome of a write. */
-    private void written(
-            List<JobResult> results, List<ItemProgress> progress, JobRow after, Either<Failure, JobRecord> outcome) {
+    private void written(CommitContents contents, JobRow after, Either<Failure, JobRecord> outcome) {
         writing = false;
         if (stopped) {
             return;
         }
         if (outcome.isLeft()) {
-            scheduleWrite(writeFailures.add(outcome.getLeft()));
+            writeFailed(outcome.getLeft());
             return;
         }
+        List<JobResult> results = contents.results();
         writeFailures.clear();
         JobRecord record = outcome.get();
         if (!record.row().equals(after)) {
@@ -364,7 +320,7 @@
         }
         job = record;
         unrecorded.removeAll(results);
-        progress.forEach(this::recorded);
+        contents.progress().forEach(this::recorded);
         if (!results.isEmpty()) {
             context.metrics().resultsRecorded(results.size());
             context.events()
@@ -394,6 +350,18 @@
         askForPlaces();
     }
 
+    /** Writes again after a failure; less at once if the store does not take a commit of this size. */
+    private void writeFailed(Failure failure) {
+        long pauseMillis = writeFailures.add(failure);
+        boolean refused = failure.kind() == Failure.Kind.TOO_LARGE || failure.kind() == Failure.Kind.INVALID;
+        if (refused && commitLimit.bytes() > 0) {
+            commitLimit = commitLimit.half();
+            scheduleWrite(COMMIT_DELAY_MILLIS);
+        } else {
+            scheduleWrite(pauseMillis);
+        }
+    }
+
     /** Notes the progress that has been recorded for an item. */
     private void recorded(ItemProgress progress) {
         ItemRun item = items.get(progress.getItem());
@@ -433,8 +401,8 @@
     private void readRecorded() {
         if (!stopped) {
             context.store()
-                    .recordedItems(id())
-                    .subscribe(read -> context.loop().execute(() -> dropRecorded(complete(read))));
+                    .recordedItems(job.row())
+                    .subscribe(read -> context.loop().execute(() -> dropRecorded(read)));
         }
     }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobStore.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobStore.java
@@ -1,6 +1,5 @@
 package org.tanagermoor.gateway.job;
 
-import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.vavr.control.Either;
 import java.util.ArrayList;
@@ -10,17 +9,14 @@
 import java.util.Optional;
 import java.util.function.Function;
 import org.apache.commons.codec.digest.MurmurHash3;
-import org.jspecify.annotations.Nullable;
 import org.tanagermoor.gateway.proto.ItemProgress;
 import org.tanagermoor.gateway.proto.JobContent;
 import org.tanagermoor.gateway.proto.JobRow;
-import org.tanagermoor.gateway.proto.ResultPart;
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.store.object.ObjectStore;
 import org.tanagermoor.store.table.CommitResult;
 import org.tanagermoor.store.table.Row;
 import org.tanagermoor.store.table.RowKey;
-import org.tanagermoor.store.table.RowPage;
 import org.tanagermoor.store.table.TableService;
 import org.tanagermoor.store.table.Transaction;
 import reactor.core.publisher.Mono;
@@ -43,12 +39,6 @@
     /** Number of partitions of each table; each handles a share of the commits. */
     private static final int PARTITIONS = 8;
 
-    /**
-     * Maximum size of an output in one row, in bytes: rows hold 64 KiB in base64, which leaves room for the other
-     * fields.
-     */
-    private static final int MAX_PART_BYTES = 45_000;
-
     /** Number of rows of results that are read at once, unless one result takes more. */
     private static final int RESULT_PAGE_ROWS = 48;
 
@@ -96,52 +86,78 @@
      * @return The job as it is recorded afterwards, either the given row or that of another writer, or a failure.
      */
     public Mono<Either<Failure, JobRecord>> write(JobRecord before, List<JobResult> results, JobRow after) {
-        return write(before, results, List.of(), after);
+        return write(before, new CommitContents(results, List.of(), CommitSize.LIMIT), after);
     }
 
     /**
      * Records results, the progress of unfinished items, and the new state of a job in one commit. An unchanged row of
-     * the job is not written, so that its readers are not notified.
+     * the job is not written, so that its readers are not notified. Rows of results that exceed the limit are written
+     * in earlier commits; they count only once the row of the job includes their result.
      *
      * @param before The job as it was last known.
-     * @param results The results from position {@code before.row().getRecorded()} on.
-     * @param progress The progress of unfinished items.
+     * @param contents The results from position {@code before.row().getRecorded()} on, and the progress.
      * @param after The new row of the job.
      * @return The job as it is recorded afterwards, either the given row or that of another writer, or a failure.
      */
-    public Mono<Either<Failure, JobRecord>> write(
-            JobRecord before, List<JobResult> results, List<ItemProgress> progress, JobRow after) {
+    public Mono<Either<Failure, JobRecord>> write(JobRecord before, CommitContents contents, JobRow after) {
         RowKey key = jobKey(after.getId());
         boolean changed = before.version() == Transaction.ABSENT || !after.equals(before.row());
-        Transaction transaction = Transaction.EMPTY.withCondition(key, before.version());
-        if (changed) {
-            transaction = transaction.withPut(key, after.toByteArray());
+        Transaction condition = Transaction.EMPTY.withCondition(key, before.version());
+        Transaction last = changed ? condition.withPut(key, after.toByteArray()) : condition;
+        for (ItemProgress item : contents.progress()) {
+            last = last.withPut(progressKey(after.getId(), item.getItem()), item.toByteArray());
         }
-        int position = before.row().getRecorded();
-        for (JobResult result : results) {
-            List<byte[]> parts = parts(result);
-            for (int part = 0; part < parts.size(); part++) {
-                transaction = transaction.withPut(resultKey(after.getId(), position, part), parts.get(part));
-            }
-            position++;
+        Mono<Either<Failure, CommitResult>> written = commit(
+                condition,
+                last,
+                ResultRows.of(table(RESULTS_TABLE, after.getId()), before.row(), contents.results()),
+                contents.limit());
+        return written.map(result -> result.flatMap(committed -> switch (committed) {
+            case CommitResult.Committed done ->
+                Either.right(new JobRecord(after, changed ? done.versions().getOrDefault(key, 0L) : before.version()));
+            case CommitResult.Conflict conflict ->
+                conflict.found().stream()
+                        .filter(row -> row.key().equals(key))
+                        .findFirst()
+                        .map(row -> record(row.value(), row.version()))
+                        .orElseGet(() -> Either.left(Failure.notRun(
+                                Failure.Kind.CONFLICT, "job.write", Failure.LOCAL, "the row does not exist")));
+        }));
+    }
+
+    /**
+     * Commits rows together with a last transaction, or as many as exceed the limit in earlier transactions.
+     *
+     * @param condition The transaction with the condition of all commits.
+     * @param last The transaction that must come last.
+     * @param rows The rows.
+     * @param limit What one commit holds.
+     * @return The outcome of the last commit, or the conflict or failure that prevented it.
+     */
+    private Mono<Either<Failure, CommitResult>> commit(
+            Transaction condition, Transaction last, List<Transaction.Write> rows, CommitSize limit) {
+        if (rows.isEmpty() || CommitContents.size(last).withAll(rows).fits(limit)) {
+            return tables.commit(with(last, rows));
         }
-        for (ItemProgress item : progress) {
-            transaction = transaction.withPut(progressKey(after.getId(), item.getItem()), item.toByteArray());
+        int count = 1;
+        CommitSize size = CommitContents.size(condition).withAll(rows.subList(0, 1));
+        while (count < rows.size()
+                && size.withAll(rows.subList(count, count + 1)).fits(limit)) {
+            size = size.withAll(rows.subList(count, count + 1));
+            count++;
         }
-        long unchanged = before.version();
-        return tables.commit(transaction)
-                .map(result -> result.flatMap(committed -> switch (committed) {
-                    case CommitResult.Committed done ->
-                        Either.right(
-                                new JobRecord(after, changed ? done.versions().getOrDefault(key, 0L) : unchanged));
-                    case CommitResult.Conflict conflict ->
-                        conflict.found().stream()
-                                .filter(row -> row.key().equals(key))
-                                .findFirst()
-                                .map(row -> record(row.value(), row.version()))
-                                .orElseGet(() -> Either.left(Failure.notRun(
-                                        Failure.Kind.CONFLICT, "job.write", Failure.LOCAL, "the row does not exist")));
-                }));
+        List<Transaction.Write> rest = rows.subList(count, rows.size());
+        return tables.commit(with(condition, rows.subList(0, count)))
+                .flatMap(result -> result.isRight() && result.get() instanceof CommitResult.Committed
+                        ? commit(condition, last, rest, limit)
+                        : Mono.just(result));
+    }
+
+    /** Returns a transaction that also puts the given rows. */
+    private static Transaction with(Transaction transaction, List<Transaction.Write> rows) {
+        List<Transaction.Write> writes = new ArrayList<>(transaction.writes());
+        writes.addAll(rows);
+        return new Transaction(transaction.conditions(), List.copyOf(writes));
     }
 
     /**
@@ -239,42 +255,47 @@
      *
      * @param job The identity of the job.
      * @param from The position of the first result.
+     * @param end The number of results that the row of the job counts; others are not returned.
      * @return The results, at least one if there is any, or a failure.
      */
-    public Mono<Either<Failure, ResultPage>> results(String job, int from) {
-        return results(job, from, RESULT_PAGE_ROWS);
+    public Mono<Either<Failure, ResultPage>> results(String job, int from, int end) {
+        return results(job, from, end, RESULT_PAGE_ROWS);
     }
 
-    private Mono<Either<Failure, ResultPage>> results(String job, int from, int rows) {
-        String after = from == 0 ? "" : job + "/" + position(from - 1) + "/~";
-        return tables.scan(table(RESULTS_TABLE, job), job + "/", after, rows)
-                .map(result -> result.flatMap(JobStore::join))
+    private Mono<Either<Failure, ResultPage>> results(String job, int from, int end, int rows) {
+        return tables.scan(table(RESULTS_TABLE, job), job + "/", ResultRows.keyBefore(job, from), rows)
+                .map(result -> result.flatMap(page -> ResultRows.join(page, end)))
                 .flatMap(result -> result.isRight() && result.get().holdsNoResult() && rows < MAX_RESULT_ROWS
-                        ? results(job, from, MAX_RESULT_ROWS)
+                        ? results(job, from, end, MAX_RESULT_ROWS)
                         : Mono.just(result));
     }
 
     /**
      * Reads which items of a job have a recorded result. Their outputs are read page by page and not kept.
      *
-     * @param job The identity of the job.
-     * @return The identities of the items in the order of their positions, or a failure.
+     * @param job The row of the job.
+     * @return The identities of the items in the order of their positions, or a failure, also if there are fewer than
+     *     the row of the job counts.
      */
-    public Mono<Either<Failure, List<String>>> recordedItems(String job) {
+    public Mono<Either<Failure, List<String>>> recordedItems(JobRow job) {
         return recordedItems(job, List.of());
     }
 
-    private Mono<Either<Failure, List<String>>> recordedItems(String job, List<String> before) {
-        return results(job, before.size()).flatMap(result -> {
+    private Mono<Either<Failure, List<String>>> recordedItems(JobRow job, List<String> before) {
+        if (before.size() >= job.getRecorded()) {
+            return Mono.just(Either.right(before));
+        }
+        return results(job.getId(), before.size(), job.getRecorded()).flatMap(result -> {
             if (result.isLeft()) {
                 return Mono.just(Either.left(result.getLeft()));
             }
+            if (result.get().results().isEmpty()) {
+                return Mono.just(Either.left(failure(
+                        "job.results", "found " + before.size() + " of " + job.getRecorded() + " recorded results")));
+            }
             List<String> items = new ArrayList<>(before);
             result.get().results().forEach(recorded -> items.add(recorded.item()));
-            if (result.get().holdsNoResult()) {
-                return Mono.just(Either.left(failure("job.results", "a result takes more rows than one read holds")));
-            }
-            return result.get().last() ? Mono.just(Either.right(items)) : recordedItems(job, items);
+            return recordedItems(job, items);
         });
     }
 
@@ -290,7 +311,7 @@
 
     /** Returns whether the output of an item fits into one row. */
     static boolean fitsIntoRow(ItemProgress progress) {
-        return progress.getOutput().size() <= MAX_PART_BYTES;
+        return progress.getOutput().size() <= ResultRows.MAX_PART_BYTES;
     }
 
     /**
@@ -322,75 +343,14 @@
         return Either.right(result);
     }
 
-    /** Joins the rows of results. Omits the last result if the read may have ended within it. */
-    private static Either<Failure, ResultPage> join(RowPage page) {
-        List<JobResult> results = new ArrayList<>();
-        String position = "";
-        @Nullable ResultPart head = null;
-        ByteString output = ByteString.EMPTY;
-        try {
-            for (Row row : page.rows()) {
-                String key = row.key().key();
-                String at = key.substring(0, key.lastIndexOf('/'));
-                ResultPart part = ResultPart.parseFrom(row.value());
-                if (!at.equals(position)) {
-                    if (head != null) {
-                        results.add(result(head, output));
-                    }
-                    head = part;
-                    output = ByteString.EMPTY;
-                    position = at;
-                }
-                output = output.concat(part.getOutput());
-            }
-        } catch (InvalidProtocolBufferException exception) {
-            return Either.left(failure("job.results", String.valueOf(exception.getMessage())));
-        }
-        if (head != null && page.last()) {
-            results.add(result(head, output));
-        }
-        return Either.right(new ResultPage(results, page.last()));
-    }
-
-    private static JobResult result(ResultPart head, ByteString output) {
-        return new JobResult(head.getItem(), head.getCompleted(), output.toStringUtf8());
-    }
-
-    /** Splits a result into the values of its rows. */
-    private static List<byte[]> parts(JobResult result) {
-        ByteString output = ByteString.copyFromUtf8(result.output());
-        List<byte[]> parts = new ArrayList<>();
-        int at = 0;
-        do {
-            int end = Math.min(output.size(), at + MAX_PART_BYTES);
-            parts.add(ResultPart.newBuilder()
-                    .setItem(result.item())
-                    .setCompleted(result.completed())
-                    .setOutput(output.substring(at, end))
-                    .build()
-                    .toByteArray());
-            at = end;
-        } while (at < output.size());
-        return parts;
-    }
-
     private static RowKey jobKey(String job) {
         return RowKey.of(table(JOBS_TABLE, job), job);
     }
 
-    private static RowKey resultKey(String job, int position, int part) {
-        return RowKey.of(table(RESULTS_TABLE, job), job + "/" + position(position) + "/" + String.format("%03d", part));
-    }
-
     private static RowKey progressKey(String job, String item) {
         return RowKey.of(table(PROGRESS_TABLE, job), job + "/" + item);
     }
 
-    /** Returns a position as a text of fixed length, which sorts like the number. */
-    private static String position(int position) {
-        return String.format("%06d", position);
-    }
-
     /** Returns the name of a table with the partition of a job. */
     private static String table(String table, String job) {
         byte[] bytes = job.getBytes(java.nio.charset.StandardCharsets.UTF_8);
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobView.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobView.java
@@ -14,8 +14,8 @@
  */
 final class JobView {
 
-    /** Maximum size of the outputs in one answer, in bytes: answers hold 1 MB. */
-    private static final int MAX_PAGE_BYTES = 900_000;
+    /** Number of bytes of a result in an answer, beside its item and output. */
+    private static final int RESULT_BYTES = 64;
 
     /** Delay after which a reader can retry while the store does not answer, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 500;
@@ -25,6 +25,9 @@
     /** Results that were read from the store, from position 0 on. */
     private final List<JobResult> results = new ArrayList<>();
 
+    /** Number of bytes that each of these results takes in an answer. */
+    private final List<Integer> answerBytes = new ArrayList<>();
+
     /** Readers that wait for a result. */
     private final List<Reader> readers = new ArrayList<>();
 
@@ -85,7 +88,7 @@
         loading = true;
         int from = results.size();
         context.store()
-                .results(record.row().getId(), from)
+                .results(record.row().getId(), from, record.row().getRecorded())
                 .subscribe(read -> context.loop().execute(() -> loaded(from, read)));
     }
 
@@ -97,9 +100,14 @@
             return;
         }
         if (from == results.size()) {
-            results.addAll(read.get().results());
+            read.get().results().forEach(result -> {
+                results.add(result);
+                answerBytes.add(RESULT_BYTES
+                        + context.answerBytes().applyAsInt(result.item())
+                        + context.answerBytes().applyAsInt(result.output()));
+            });
         }
-        if (read.get().last() && results.size() < record.row().getRecorded()) {
+        if (read.get().results().isEmpty()) {
             refuseWaiting(
                     "the store has " + results.size() + " of " + record.row().getRecorded() + " results");
         }
@@ -127,12 +135,11 @@
         List<JobResult> page = new ArrayList<>();
         int bytes = 0;
         for (int position = after; position < results.size(); position++) {
-            JobResult result = results.get(position);
-            bytes += result.output().length();
-            if (!page.isEmpty() && bytes > MAX_PAGE_BYTES) {
+            bytes += answerBytes.get(position);
+            if (!page.isEmpty() && bytes > JobContext.MAX_ANSWER_BYTES) {
                 break;
             }
-            page.add(result);
+            page.add(results.get(position));
         }
         return new JobAnswer.Results(new JobPage(record.row().getTotal(), after + page.size(), page));
     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
@@ -252,10 +252,7 @@
             Either<Failure, JobRecord> result,
             Consumer<JobAnswer> answer) {
         if (result.isLeft()) {
-            boolean notRun = result.getLeft().execution() == Execution.NOT_RUN;
-            Refusal.Kind kind = notRun ? Refusal.Kind.UNAVAILABLE : Refusal.Kind.TIMEOUT;
-            String detail = result.getLeft().toString();
-            refuse(head, new Refusal(kind, notRun ? RETRY_DELAY_MILLIS : 0, detail), answer);
+            refuse(head, refusal(result.getLeft()), answer);
             return;
         }
         JobRecord record = result.get();
@@ -280,6 +277,19 @@
         answer.accept(new JobAnswer.Accepted());
     }
 
+    /** Returns the refusal of a job that could not be stored, or may not have been. */
+    private static Refusal refusal(Failure failure) {
+        String detail = failure.toString();
+        if (failure.execution() != Execution.NOT_RUN) {
+            return Refusal.of(Refusal.Kind.TIMEOUT, detail);
+        }
+        return switch (failure.kind()) {
+            case TOO_LARGE -> Refusal.of(Refusal.Kind.TOO_LARGE, detail);
+            case INVALID -> Refusal.of(Refusal.Kind.MALFORMED, detail);
+            default -> new Refusal(Refusal.Kind.UNAVAILABLE, RETRY_DELAY_MILLIS, detail);
+        };
+    }
+
     /** Updates the view and the run of a job from its row. */
     private void observe(JobRecord record) {
         String id = record.row().getId();
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/InstanceTable.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/InstanceTable.java
@@ -81,8 +81,11 @@
                     if (result.isLeft()) {
                         events.record(
                                 GatewayEvent.STORE_LOST, "table", TABLE, "step", "write", "failure", result.getLeft());
+                    }
+                    if (result.isLeft() && result.getLeft().kind() != Failure.Kind.INVALID) {
                         loop.schedule(this::write, RETRY_MILLIS, TimeUnit.MILLISECONDS);
                     } else {
+                        // The others are found even if the store does not take the row of this instance.
                         read();
                     }
                 }));
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
@@ -221,12 +221,13 @@
       " \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004path" +
       "\030\004 \001(\t\022\027\n\017accepted_millis\030\005 \001(\004\022\r\n\005total" +
       "\030\006 \001(\r\022\020\n\010recorded\030\007 \001(\r\022\r\n\005ended\030\010 \001(\010\022" +
-      "\026\n\016tokens_waiting\030\t \001(\004\022\r\n\005owner\030\n \001(\t\"=" +
+      "\026\n\016tokens_waiting\030\t \001(\004\022\r\n\005owner\030\n \001(\t\"L" +
       "\n\nResultPart\022\014\n\004item\030\001 \001(\t\022\021\n\tcompleted\030" +
-      "\002 \001(\010\022\016\n\006output\030\003 \001(\014\"R\n\014ItemProgress\022\014\n" +
-      "\004item\030\001 \001(\t\022\022\n\nlast_event\030\002 \001(\004\022\016\n\006outpu" +
-      "t\030\003 \001(\014\022\020\n\010failures\030\004 \001(\rB!\n\035org.tanager" +
-      "moor.gateway.protoP\001b\006proto3"
+      "\002 \001(\010\022\016\n\006output\030\003 \001(\014\022\r\n\005parts\030\004 \001(\r\"R\n\014" +
+      "ItemProgress\022\014\n\004item\030\001 \001(\t\022\022\n\nlast_event" +
+      "\030\002 \001(\004\022\016\n\006output\030\003 \001(\014\022\020\n\010failures\030\004 \001(\r" +
+      "B!\n\035org.tanagermoor.gateway.protoP\001b\006pro" +
+      "to3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -363,7 +364,7 @@
     internal_static_tanagermoor_gateway_ResultPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ResultPart_descriptor,
-        new java.lang.String[] { "Item", "Completed", "Output", });
+        new java.lang.String[] { "Item", "Completed", "Output", "Parts", });
     internal_static_tanagermoor_gateway_ItemProgress_descriptor =
       getDescriptor().getMessageType(22);
     internal_static_tanagermoor_gateway_ItemProgress_fieldAccessorTable = new
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/ResultPart.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/ResultPart.java
@@ -115,6 +115,21 @@
     return output_;
   }
 
+  public static final int PARTS_FIELD_NUMBER = 4;
+  private int parts_ = 0;
+  /**
+   * <pre>
+   * The number of rows of the result, in the first of them; 0 if all rows at its position belong to it.
+   * </pre>
+   *
+   * <code>uint32 parts = 4;</code>
+   * @return The parts.
+   */
+  @java.lang.Override
+  public int getParts() {
+    return parts_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -138,6 +153,9 @@
     if (!output_.isEmpty()) {
       output.writeBytes(3, output_);
     }
+    if (parts_ != 0) {
+      output.writeUInt32(4, parts_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -153,6 +171,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(3, output_);
     }
+    if (parts_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(4, parts_);
+    }
     return size;
   }
   @java.lang.Override
@@ -183,6 +205,8 @@
         != other.getCompleted()) return false;
     if (!getOutput()
         .equals(other.getOutput())) return false;
+    if (getParts()
+        != other.getParts()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -201,6 +225,8 @@
         getCompleted());
     hash = (37 * hash) + OUTPUT_FIELD_NUMBER;
     hash = (53 * hash) + getOutput().hashCode();
+    hash = (37 * hash) + PARTS_FIELD_NUMBER;
+    hash = (53 * hash) + getParts();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -339,6 +365,7 @@
       item_ = "";
       completed_ = false;
       output_ = com.google.protobuf.ByteString.EMPTY;
+      parts_ = 0;
       return this;
     }
 
@@ -381,6 +408,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.output_ = output_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.parts_ = parts_;
+      }
     }
 
     @java.lang.Override
@@ -406,6 +436,9 @@
       if (!other.getOutput().isEmpty()) {
         setOutput(other.getOutput());
       }
+      if (other.getParts() != 0) {
+        setParts(other.getParts());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -445,6 +478,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 32: {
+              parts_ = input.readUInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -598,6 +636,50 @@
       return this;
     }
 
+    private int parts_ ;
+    /**
+     * <pre>
+     * The number of rows of the result, in the first of them; 0 if all rows at its position belong to it.
+     * </pre>
+     *
+     * <code>uint32 parts = 4;</code>
+     * @return The parts.
+     */
+    @java.lang.Override
+    public int getParts() {
+      return parts_;
+    }
+    /**
+     * <pre>
+     * The number of rows of the result, in the first of them; 0 if all rows at its position belong to it.
+     * </pre>
+     *
+     * <code>uint32 parts = 4;</code>
+     * @param value The parts to set.
+     * @return This builder for chaining.
+     */
+    public Builder setParts(int value) {
+
+      parts_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The number of rows of the result, in the first of them; 0 if all rows at its position belong to it.
+     * </pre>
+     *
+     * <code>uint32 parts = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearParts() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      parts_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.ResultPart)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/ResultPartOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/ResultPartOrBuilder.java
@@ -33,4 +33,14 @@
    * @return The output.
    */
   com.google.protobuf.ByteString getOutput();
+
+  /**
+   * <pre>
+   * The number of rows of the result, in the first of them; 0 if all rows at its position belong to it.
+   * </pre>
+   *
+   * <code>uint32 parts = 4;</code>
+   * @return The parts.
+   */
+  int getParts();
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/quarantine/QuarantineTable.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/quarantine/QuarantineTable.java
@@ -92,6 +92,10 @@
                     if (result.isLeft()) {
                         events.record(
                                 GatewayEvent.STORE_LOST, "table", TABLE, "step", "write", "failure", result.getLeft());
+                        // A row that the store will never take must not hold up the others.
+                        if (result.getLeft().kind() == Failure.Kind.INVALID) {
+                            pending.remove(change.part, change);
+                        }
                         loop.schedule(this::write, RETRY_MILLIS, TimeUnit.MILLISECONDS);
                     } else {
                         pending.remove(change.part, change);
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -16,8 +16,10 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -125,6 +127,12 @@
     /** Keeps the objects of the store. */
     private final ObjectStore objects = ObjectStore.InMemory.of();
 
+    /** Whether the store takes no commits. */
+    private boolean commitsFail;
+
+    /** The maximum size of a commit that the store takes, in bytes. */
+    private int maxCommitBytes = 1_000_000;
+
     /** The time that a scan of the store takes, in milliseconds. */
     private long scanDelayMillis;
 
@@ -146,6 +154,8 @@
 
     private DispatchServer server;
 
+    private JobContext context;
+
     private Jobs jobs;
 
     JobsTest() {
@@ -170,7 +180,7 @@
 
     /** Lets the instance forget all jobs, and sets the retention of jobs. */
     private void createJobs(Duration retention) {
-        JobContext context = new JobContext(
+        context = new JobContext(
                 channel.eventLoop(),
                 fleet,
                 dispatch,
@@ -183,6 +193,7 @@
                 "lisbon",
                 new HashMap<>(),
                 ItemPace.of(),
+                String::length,
                 retention);
         jobs = Jobs.of(context, liveness, () -> true);
     }
@@ -321,6 +332,49 @@
         assertThat(job.row().getRecorded(), is(recorded));
     }
 
+    /**
+     * Results whose outputs have several bytes a character made up a commit that the store never takes, so that no
+     * result of the job was recorded any more. They pile up while the store is away.
+     *
+     * @param text What the outputs consist of.
+     * @param characters The number of characters of each output.
+     * @param maxBytes The maximum size of a commit that the store takes.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "a, 20000, 1000000", "é, 20000, 1000000", "語, 20000, 1000000", "𝄞, 20000, 1000000",
+        "語, 300000, 1000000", "語, 20000, 200000", "a, 45000, 62000", "a, 10, 1000000"
+    })
+    void recordsResultsOfAnyScriptAfterAnOutage(String text, int characters, int maxBytes) {
+        String output = text.repeat(characters / text.length());
+        maxCommitBytes = maxBytes;
+        List<JobItem> items = IntStream.range(0, 24)
+                .mapToObj(item ->
+                        JobItem.newBuilder().setId(Integer.toString(item)).build())
+                .toList();
+        JobRow accepted = JobRow.newBuilder()
+                .setId("j")
+                .setOwner(dispatch.self())
+                .setTotal(24)
+                .setAcceptedMillis(time.wallMillis())
+                .build();
+        JobContent content = JobContent.newBuilder().addAllItems(items).build();
+        JobRun run = new JobRun(context, store.accept(accepted, content).block().get(), record -> {});
+        commitsFail = true;
+        run.start(content);
+        items.forEach(item -> run.finished(new JobResult(item.getId(), true, output)));
+        advance(4_000);
+        commitsFail = false;
+        advance(12_000);
+        JobRow row = store.read("j").block().get().get().row();
+        assertThat(row.getRecorded(), is(24));
+        List<JobResult> results = new ArrayList<>();
+        while (results.size() < 24) {
+            results.addAll(store.results("j", results.size(), 24).block().get().results());
+        }
+        assertThat(results.stream().map(JobResult::output).distinct().toList(), is(List.of(output)));
+    }
+
     /** A job that can never be resumed was read again and again without a word of its cause; others are not affected. */
     @Test
     void reportsOnceWhyAJobCannotBeResumed() {
@@ -420,7 +474,30 @@
         /** {@inheritDoc} */
         @Override
         public Mono<Either<Failure, CommitResult>> commit(Transaction transaction) {
-            return tables.commit(transaction);
+            if (commitsFail) {
+                return Mono.just(Either.left(
+                        Failure.notRun(Failure.Kind.UNAVAILABLE, "store.commit", ADDRESS.toString(), "away")));
+            }
+            return tooLarge(transaction)
+                    ? Mono.just(Either.left(
+                            Failure.notRun(Failure.Kind.TOO_LARGE, "store.commit", ADDRESS.toString(), "too large")))
+                    : tables.commit(transaction);
+        }
+
+        /** Returns whether a transaction exceeds a limit of the store, which counts encoded bytes. */
+        private boolean tooLarge(Transaction transaction) {
+            long bytes = 0;
+            boolean rowTooLong = false;
+            for (Transaction.Write write : transaction.writes()) {
+                byte[] value = write.value();
+                int encoded = value == null
+                        ? 0
+                        : Base64.getEncoder().encodeToString(value).length();
+                bytes += encoded + write.key().toString().getBytes(StandardCharsets.UTF_8).length + 100;
+                rowTooLong |= encoded > 65_536;
+            }
+            int entries = transaction.conditions().size() + transaction.writes().size();
+            return bytes > maxCommitBytes || rowTooLong || entries > 100;
         }
     }
 
