--- a/tanagermoor-cli/src/main/java/org/tanagermoor/cli/explain/Conclusion.java
+++ b/tanagermoor-cli/src/main/java/org/tanagermoor/cli/explain/Conclusion.java
@@ -36,7 +36,7 @@
                         + refusalReason(last.field("detail")) + ".");
             case "REQUEST_ANSWERED" ->
                 result.add("Answered by " + last.field("target") + " after " + last.field("took-ms") + " ms, attempt "
-                        + last.field("attempts") + ".");
+                        + last.field("attempts") + "." + delivery(last));
             case "CALLER_LEFT" ->
                 result.add("The caller left before the answer was whole; the request was "
                         + ("true".equals(last.field("sent")) ? "at " + last.field("target") : "not sent") + ".");
@@ -54,6 +54,18 @@
                 .ifPresent(line -> result.add("It waited " + line.field("waited-ms") + " ms for a place."));
     }
 
+    /** Describes what proves the answer; empty in logs that do not tell. */
+    private static String delivery(LogLine answered) {
+        if (answered.field("runs").isEmpty()) {
+            return "";
+        }
+        String end = "true".equals(answered.field("framed")) ? "its framing" : "the close of the connection";
+        String connection = "true".equals(answered.field("reused")) ? "reused" : "new";
+        return " Runs (target, status, signature, events): " + answered.field("runs") + ". Its end was told by " + end
+                + ", over a " + connection + " connection on which " + answered.field("skipped-answers")
+                + " answers to other requests were skipped.";
+    }
+
     private static void describeItem(RequestLog log, List<String> result) {
         log.of("ITEM_ABANDONED").forEach(line -> result.add("Given up: " + line.field("reason") + "."));
         List<LogLine> ends = log.of("ITEM_ENDED");
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import org.tanagermoor.gateway.follow.ChangeFeed;
 import org.tanagermoor.gateway.follow.FollowedTable;
 import org.tanagermoor.gateway.follow.TableFollower;
+import org.tanagermoor.gateway.forward.SkippedAnswerLog;
 import org.tanagermoor.gateway.forward.TargetConnections;
 import org.tanagermoor.gateway.forward.TargetProtocol;
 import org.tanagermoor.gateway.job.ItemPace;
@@ -128,7 +129,8 @@
                 loop,
                 context.service(TargetProtocol.class),
                 time,
-                target -> loop.execute(() -> fleet.leaving(target.id(), target.startedAtMillis())));
+                new SkippedAnswerLog(
+                        events, target -> loop.execute(() -> fleet.leaving(target.id(), target.startedAtMillis()))));
         GatewayMetrics metrics = GatewayMetrics.of(context.metrics());
         jobs = Jobs.of(jobContext(context, tables, metrics, domain), liveness, this::jobStateFresh);
         jobTable = follow(feed, JobStore.JOBS_TABLE, this::jobReadInterval, jobs::rowsChanged);
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
@@ -112,7 +112,10 @@
     PART_FORGOTTEN(2235, Level.INFO, "the record of a part of prompts was dropped for its age"),
 
     /** The item runs when the part is released, unless the time for its job is over before. */
-    ITEM_HELD_BACK(2236, Level.INFO, "an item waits because a part of its prompt is held back");
+    ITEM_HELD_BACK(2236, Level.INFO, "an item waits because a part of its prompt is held back"),
+
+    /** A target sent an answer that names another request or none, and it was not passed on. */
+    ANSWER_SKIPPED(2237, Level.INFO, "an answer that belongs to no current request was skipped");
 
     private final Entry entry;
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -16,6 +16,7 @@
 import org.tanagermoor.gateway.fleet.Route;
 import org.tanagermoor.gateway.fleet.RouteKind;
 import org.tanagermoor.gateway.fleet.TargetEntry;
+import org.tanagermoor.gateway.forward.Delivery;
 import org.tanagermoor.gateway.forward.EventFrames;
 import org.tanagermoor.gateway.forward.TargetConnections;
 import org.tanagermoor.gateway.forward.TargetHead;
@@ -306,6 +307,7 @@
     @Override
     public void head(TargetHead answer, HttpResponse response) {
         receivedAt = context.time().nanos();
+        log.headReceived(answer);
         if (answer.notRun() || answer.misdirected()) {
             retryNotRun("the target did not run the request", PlaceOutcome.FULL);
         } else if (headSent && !(answer.events() && answer.status() < FIRST_FAILURE_STATUS)) {
@@ -338,7 +340,7 @@
 
     /** {@inheritDoc} */
     @Override
-    public void end() {
+    public void end(Delivery delivery) {
         if (ended) {
             return;
         }
@@ -352,7 +354,13 @@
         }
         exchange = null;
         finish(PlaceOutcome.SERVED);
-        log.answered(targetId(), attempts, context.time().nanos());
+        log.answered(
+                targetId(),
+                lastEvent - startEvent,
+                lastEvent,
+                attempts,
+                delivery,
+                context.time().nanos());
         responder.end();
     }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineLog.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineLog.java
@@ -1,7 +1,12 @@
 package org.tanagermoor.gateway.edge;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.tanagermoor.gateway.GatewayEvent;
+import org.tanagermoor.gateway.forward.Delivery;
+import org.tanagermoor.gateway.forward.TargetHead;
 
 /** Logs and counts what becomes of an online request. Confined to the event loop. */
 final class OnlineLog {
@@ -18,6 +23,13 @@
     /** The monotonic time of the arrival in nanoseconds. */
     private final long arrivedAt;
 
+    /** The runs that have ended: the target, the status and signature of its answer, and its events. */
+    private final List<String> runs = new ArrayList<>();
+
+    /** The head of the answer in the current run, or {@code null} before it has arrived. */
+    @Nullable
+    private TargetHead answer;
+
     /** Creates the log of a request that arrived at the given monotonic time in nanoseconds. */
     OnlineLog(CallContext context, CallHead head, String team, String route, long arrivedAt) {
         this.context = context;
@@ -35,6 +47,7 @@
      * @param now The current monotonic time in nanoseconds.
      */
     void placed(String target, long leftMillis, long now) {
+        answer = null;
         context.events()
                 .record(
                         GatewayEvent.REQUEST_PLACED,
@@ -50,6 +63,11 @@
                         leftMillis);
     }
 
+    /** Notes the head of the answer in the current run. */
+    void headReceived(TargetHead head) {
+        answer = head;
+    }
+
     /**
      * Records that a target failed to answer.
      *
@@ -62,6 +80,7 @@
      */
     void exchangeFailed(
             String target, String detail, boolean mayHaveRun, long runEvents, long lastEvent, int attempts) {
+        addRun(target, runEvents, lastEvent);
         context.events()
                 .record(
                         GatewayEvent.EXCHANGE_FAILED,
@@ -80,7 +99,11 @@
                         "last-event",
                         lastEvent,
                         "attempts",
-                        attempts);
+                        attempts,
+                        "status",
+                        status(),
+                        "signed",
+                        signed());
         context.metrics().exchangeFailed();
     }
 
@@ -93,10 +116,14 @@
      * Records that the answer was sent to its end.
      *
      * @param target The identity of the target.
+     * @param runEvents The number of events that the target sent in this run.
+     * @param lastEvent The number of the last event that was sent to the caller.
      * @param attempts The number of targets that may have run the request.
+     * @param delivery How the answer of the last run was delivered.
      * @param now The current monotonic time in nanoseconds.
      */
-    void answered(String target, int attempts, long now) {
+    void answered(String target, long runEvents, long lastEvent, int attempts, Delivery delivery, long now) {
+        addRun(target, runEvents, lastEvent);
         context.metrics().answerCompleted(now - arrivedAt);
         context.events()
                 .record(
@@ -108,7 +135,19 @@
                         "took-ms",
                         millisSinceArrival(now),
                         "attempts",
-                        attempts);
+                        attempts,
+                        "status",
+                        status(),
+                        "signed",
+                        signed(),
+                        "runs",
+                        String.join(" ", runs),
+                        "framed",
+                        delivery.framed(),
+                        "reused",
+                        delivery.reused(),
+                        "skipped-answers",
+                        delivery.skippedAnswers());
     }
 
     /**
@@ -144,6 +183,22 @@
         context.metrics().callerLeft();
     }
 
+    /** Adds the current run to those that have ended. */
+    private void addRun(String target, long runEvents, long lastEvent) {
+        String signature = signed() ? "signed" : "unsigned";
+        runs.add(target + ":" + status() + ":" + signature + ":" + (lastEvent - runEvents) + "-" + lastEvent);
+    }
+
+    /** Returns the status of the answer in the current run; empty before its head has arrived. */
+    private String status() {
+        return answer == null ? "" : String.valueOf(answer.status());
+    }
+
+    /** Returns whether the answer in the current run has the target's signature. */
+    private boolean signed() {
+        return answer != null && answer.signed();
+    }
+
     private long millisSinceArrival(long now) {
         return TimeUnit.NANOSECONDS.toMillis(now - arrivedAt);
     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
@@ -41,8 +41,7 @@
     /** Called with this connection when it becomes idle. */
     private final Consumer<TargetConnection> onIdle;
 
-    /** Called with the target if an answer says that it is leaving. */
-    private final Consumer<TargetEntry> onLeaving;
+    private final TargetObserver observer;
 
     /** {@code null} before the connection is established. */
     @Nullable
@@ -69,6 +68,15 @@
     /** The number of bytes that were skipped since the request was sent. */
     private long skippedBytes;
 
+    /** The number of answers to other requests that were skipped since the request was sent. */
+    private int skippedAnswers;
+
+    /** Whether the current answer states where it ends. */
+    private boolean framed;
+
+    /** The number of requests that were sent over the connection. */
+    private int requests;
+
     /**
      * Whether the connection can be reused after the current answer. It cannot after an answer that names no request: a
      * late second copy would look like the answer to the next request.
@@ -85,14 +93,11 @@
     private long idleSince;
 
     TargetConnection(
-            TargetEntry target,
-            TargetProtocol protocol,
-            Consumer<TargetConnection> onIdle,
-            Consumer<TargetEntry> onLeaving) {
+            TargetEntry target, TargetProtocol protocol, Consumer<TargetConnection> onIdle, TargetObserver observer) {
         this.target = target;
         this.protocol = protocol;
         this.onIdle = onIdle;
-        this.onLeaving = onLeaving;
+        this.observer = observer;
     }
 
     TargetEntry target() {
@@ -125,6 +130,8 @@
         head = null;
         reusable = false;
         skippedBytes = 0;
+        skippedAnswers = 0;
+        requests++;
         if (context == null) {
             ReferenceCountUtil.release(request);
             fail(Failure.Kind.UNAVAILABLE, "not connected", false);
@@ -193,6 +200,9 @@
             return;
         }
         if (listener == null) {
+            if (message instanceof HttpResponse response) {
+                observer.answerSkipped(target, "", protocol.head(response));
+            }
             close(Failure.Kind.CORRUPT, "the target sent an answer without a request");
             return;
         }
@@ -208,7 +218,7 @@
     private void receiveHead(HttpResponse response) {
         TargetHead read = protocol.head(response);
         if (read.leaving()) {
-            onLeaving.accept(target);
+            observer.leaving(target);
         }
         if (response.status().code() < FIRST_FINAL_STATUS) {
             skipping = true;
@@ -219,18 +229,20 @@
         boolean anonymous = read.id().isEmpty() && !read.notRun() && !read.misdirected();
         if (forOtherRequest) {
             skipping = true;
+            skippedAnswers++;
+            observer.answerSkipped(target, id, read);
             countSkipped(SKIPPED_HEAD_BYTES);
             return;
         }
         if (anonymous) {
+            observer.answerSkipped(target, id, read);
             close(Failure.Kind.CORRUPT, "the answer does not name its request");
             return;
         }
         skipping = false;
         head = read;
-        reusable = !read.id().isEmpty()
-                && HttpUtil.isKeepAlive(response)
-                && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
+        framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+        reusable = !read.id().isEmpty() && HttpUtil.isKeepAlive(response) && framed;
         idleTimeoutMillis = read.idleTimeoutMillis();
         if (listener != null) {
             listener.head(read, response);
@@ -278,7 +290,7 @@
         } else if (context != null) {
             context.close();
         }
-        receiver.end();
+        receiver.end(new Delivery(framed, requests > 1, skippedAnswers));
     }
 
     /** Closes the connection, and fails the current exchange as possibly run. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnections.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnections.java
@@ -16,7 +16,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.kernel.failure.Failure;
@@ -43,8 +42,7 @@
 
     private final TimeSource time;
 
-    /** Called with a target whose answer says that it is leaving. */
-    private final Consumer<TargetEntry> onLeaving;
+    private final TargetObserver observer;
 
     /** The idle connections by the identity of the target. */
     private final Map<String, Deque<TargetConnection>> idle = new HashMap<>();
@@ -52,12 +50,11 @@
     /** The identities of the targets to which idle connections may be kept. */
     private Set<String> retainedTargets = Set.of();
 
-    private TargetConnections(
-            EventLoop loop, TargetProtocol protocol, TimeSource time, Consumer<TargetEntry> onLeaving) {
+    private TargetConnections(EventLoop loop, TargetProtocol protocol, TimeSource time, TargetObserver observer) {
         this.loop = loop;
         this.protocol = protocol;
         this.time = time;
-        this.onLeaving = onLeaving;
+        this.observer = observer;
     }
 
     /**
@@ -66,11 +63,11 @@
      * @param loop The event loop on which all connections run.
      * @param protocol Encodes requests and decodes answers.
      * @param time The source of the current time.
-     * @param onLeaving Called with a target whose answer to any request says that it is leaving.
+     * @param observer Observes what targets send beside the answers to their requests.
      */
     public static TargetConnections of(
-            EventLoop loop, TargetProtocol protocol, TimeSource time, Consumer<TargetEntry> onLeaving) {
-        return new TargetConnections(loop, protocol, time, onLeaving);
+            EventLoop loop, TargetProtocol protocol, TimeSource time, TargetObserver observer) {
+        return new TargetConnections(loop, protocol, time, observer);
     }
 
     /**
@@ -89,7 +86,7 @@
             connection.send(protocol.request(targetRequest, target), targetRequest.id(), listener);
             return exchange;
         }
-        TargetConnection newConnection = new TargetConnection(target, protocol, this::release, onLeaving);
+        TargetConnection newConnection = new TargetConnection(target, protocol, this::release, observer);
         FullHttpRequest request = protocol.request(targetRequest, target);
         connect(target, newConnection).addListener((ChannelFuture connectFuture) -> {
             if (exchange.cancelled) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetListener.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetListener.java
@@ -18,8 +18,12 @@
     /** Called with a piece of the body, which is released afterwards. */
     void body(ByteBuf content);
 
-    /** Called at the end of a complete answer. */
-    void end();
+    /**
+     * Called at the end of a complete answer.
+     *
+     * @param delivery How the answer was delivered.
+     */
+    void end(Delivery delivery);
 
     /**
      * Called when the exchange has failed. No further calls follow.
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemLog.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemLog.java
@@ -4,7 +4,9 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.tanagermoor.gateway.GatewayEvent;
+import org.tanagermoor.gateway.forward.TargetHead;
 import org.tanagermoor.policy.prompt.Prompt;
 
 /**
@@ -36,6 +38,10 @@
     /** Number of runs started so far. */
     private int runs;
 
+    /** The head of the answer in the current run, or {@code null} before it has arrived. */
+    @Nullable
+    private TargetHead answer;
+
     /** Creates a log for an idle item, whose first phase starts at the given monotonic time in nanoseconds. */
     ItemLog(JobContext context, JobRun job, String item, Prompt prompt, long now) {
         this.context = context;
@@ -85,9 +91,15 @@
                         job.dueMillis());
         enter(Phase.RUNNING, now);
         startEvent = lastEvent;
+        answer = null;
         runs++;
     }
 
+    /** Notes the head of the answer in the current run. */
+    void answerStarted(TargetHead head) {
+        answer = head;
+    }
+
     /**
      * Records the end of the current run. Does nothing if the item is not running.
      *
@@ -119,6 +131,10 @@
                         detail,
                         "parts",
                         String.join(",", prompt.shared()),
+                        "status",
+                        answer == null ? "" : answer.status(),
+                        "signed",
+                        answer != null && answer.signed(),
                         "ran-ms",
                         TimeUnit.NANOSECONDS.toMillis(now - phaseStartedAt),
                         "begun-after",
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -18,6 +18,7 @@
 import org.tanagermoor.gateway.dispatch.Work;
 import org.tanagermoor.gateway.fleet.Route;
 import org.tanagermoor.gateway.fleet.TargetEntry;
+import org.tanagermoor.gateway.forward.Delivery;
 import org.tanagermoor.gateway.forward.EventFrames;
 import org.tanagermoor.gateway.forward.TargetConnections;
 import org.tanagermoor.gateway.forward.TargetHead;
@@ -346,6 +347,7 @@
     public void head(TargetHead head, HttpResponse response) {
         lastReceivedAt = context.time().nanos();
         status = head.status();
+        log.answerStarted(head);
         if (head.notRun() || head.misdirected()) {
             recordFailedRun("the target did not run the item: " + status);
             excluded.add(targetId());
@@ -394,7 +396,7 @@
 
     /** {@inheritDoc} */
     @Override
-    public void end() {
+    public void end(Delivery delivery) {
         if (state != State.RUNNING || status != OK_STATUS) {
             return;
         }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/TargetConnectionsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/TargetConnectionsTest.java
@@ -23,6 +23,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -109,8 +110,8 @@
         byte[] own = bytes("HTTP/1.1 201 OK~X-Request-Id: q~Content-Length: 1~~y");
         CompletableFuture<Void> served = CompletableFuture.runAsync(() -> serveWithCopies(bytes(answer), own));
         EventLoop loop = group.next();
-        TargetConnections connections =
-                TargetConnections.of(loop, new Protocol(), TimeSource.ForSystem.INSTANCE, target -> {});
+        TargetConnections connections = TargetConnections.of(
+                loop, new Protocol(), TimeSource.ForSystem.INSTANCE, TargetObserver.Disabled.INSTANCE);
         CompletableFuture<Integer> first = new CompletableFuture<>();
         CompletableFuture<Integer> second = new CompletableFuture<>();
         loop.execute(() -> {
@@ -123,6 +124,37 @@
         served.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
+    /** An answer that ends with its connection looked like one with a length, and skipped answers were not logged. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "HTTP/1.1 200 OK~X-Request-Id: r~Content-Length: 1~~x                                        | true  | 0",
+                "HTTP/1.1 200 OK~X-Request-Id: r~Transfer-Encoding: chunked~~1~x~0~~                         | true  | 0",
+                "HTTP/1.1 200 OK~X-Request-Id: r~~x                                                          | false | 0",
+                "HTTP/1.1 500 No~X-Request-Id: q~Content-Length: 1~~yHTTP/1.1 200 OK~X-Request-Id: r~~x      | false | 1"
+            })
+    void tellsHowAnAnswerWasDelivered(String answer, boolean framed, int skippedAnswers)
+            throws InterruptedException, ExecutionException, TimeoutException {
+        CompletableFuture<Void> served = CompletableFuture.runAsync(() -> {
+            try (Socket socket = target.accept()) {
+                awaitRequest(socket.getInputStream());
+                socket.getOutputStream().write(bytes(answer));
+            } catch (IOException exception) {
+                throw new UncheckedIOException(exception);
+            }
+        });
+        List<String> skipped = new ArrayList<>();
+        CompletableFuture<Delivery> delivery = new CompletableFuture<>();
+        EventLoop loop = group.next();
+        TargetConnections connections =
+                TargetConnections.of(loop, new Protocol(), TimeSource.ForSystem.INSTANCE, new Observer(skipped));
+        loop.execute(() -> connections.send(entry(), request("r"), new DeliveryListener(delivery)));
+        assertThat(delivery.get(TIMEOUT_SECONDS, TimeUnit.SECONDS), is(new Delivery(framed, false, skippedAnswers)));
+        assertThat(skipped, is(skippedAnswers == 0 ? List.of() : List.of("t: q with 500 came for r")));
+        served.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
     /** Answers a first request, and a second one, after a further copy of the first answer if the connection is the same. */
     private void serveWithCopies(byte[] answer, byte[] own) {
         try (Socket first = target.accept()) {
@@ -155,8 +187,8 @@
     private CompletableFuture<Failure> send() {
         CompletableFuture<Failure> failure = new CompletableFuture<>();
         EventLoop loop = group.next();
-        TargetConnections connections =
-                TargetConnections.of(loop, new Protocol(), TimeSource.ForSystem.INSTANCE, target -> {});
+        TargetConnections connections = TargetConnections.of(
+                loop, new Protocol(), TimeSource.ForSystem.INSTANCE, TargetObserver.Disabled.INSTANCE);
         loop.execute(() -> connections.send(entry(), request("r"), new Listener(failure)));
         return failure;
     }
@@ -216,7 +248,7 @@
 
         /** {@inheritDoc} */
         @Override
-        public void end() {
+        public void end(Delivery delivery) {
             failure.completeExceptionally(new AssertionError("the answer looks complete"));
         }
 
@@ -252,7 +284,7 @@
 
         /** {@inheritDoc} */
         @Override
-        public void end() {
+        public void end(Delivery delivery) {
             status.complete(received);
         }
 
@@ -263,6 +295,50 @@
         }
     }
 
+    /** Notes the skipped answers. Confined to the event loop. */
+    private record Observer(List<String> skipped) implements TargetObserver {
+
+        /** {@inheritDoc} */
+        @Override
+        public void leaving(TargetEntry entry) {
+            throw new AssertionError("no target leaves");
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void answerSkipped(TargetEntry entry, String request, TargetHead head) {
+            skipped.add(entry.id() + ": " + head.id() + " with " + head.status() + " came for " + request);
+        }
+    }
+
+    /** Receives how a complete answer was delivered. */
+    private record DeliveryListener(CompletableFuture<Delivery> delivery) implements TargetListener {
+
+        /** {@inheritDoc} */
+        @Override
+        public void head(TargetHead head, HttpResponse response) {
+            // Only the end matters.
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void body(ByteBuf content) {
+            // Only the end matters.
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void end(Delivery value) {
+            delivery.complete(value);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void failed(Failure cause) {
+            delivery.completeExceptionally(new IllegalStateException(cause.toString()));
+        }
+    }
+
     /** A protocol that names the request in a header. */
     private static final class Protocol implements TargetProtocol {
 
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -49,6 +49,7 @@
 import org.tanagermoor.gateway.follow.ChangeFeed;
 import org.tanagermoor.gateway.forward.TargetConnections;
 import org.tanagermoor.gateway.forward.TargetHead;
+import org.tanagermoor.gateway.forward.TargetObserver;
 import org.tanagermoor.gateway.forward.TargetProtocol;
 import org.tanagermoor.gateway.forward.TargetRequest;
 import org.tanagermoor.gateway.member.Instance;
@@ -184,7 +185,7 @@
                 channel.eventLoop(),
                 fleet,
                 dispatch,
-                TargetConnections.of(channel.eventLoop(), new Protocol(), time, target -> {}),
+                TargetConnections.of(channel.eventLoop(), new Protocol(), time, TargetObserver.Disabled.INSTANCE),
                 store,
                 log,
                 GatewayMetrics.of(new MetricRegistry()),
