--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/TargetConnectionsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/TargetConnectionsTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -32,6 +33,7 @@
 import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.tanagermoor.gateway.fleet.TargetEntry;
@@ -155,6 +157,44 @@
         served.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
+    /** The failure of a request that could not be written reached its listener before the call that sent it returned. */
+    @Test
+    void callsTheListenerOnlyAfterTheRequestWasSent()
+            throws InterruptedException, ExecutionException, TimeoutException, IOException {
+        EventLoop loop = group.next();
+        TargetConnections connections = TargetConnections.of(
+                loop, new Protocol(), TimeSource.ForSystem.INSTANCE, TargetObserver.Disabled.INSTANCE);
+        CompletableFuture<Integer> first = new CompletableFuture<>();
+        loop.execute(() -> {
+            connections.retainOnly(Set.of("t"));
+            connections.send(entry(), request("r"), new StatusListener(first));
+        });
+        CompletableFuture<Boolean> calledInside = new CompletableFuture<>();
+        CompletableFuture<Integer> second = new CompletableFuture<>();
+        try (Socket socket = target.accept()) {
+            awaitRequest(socket.getInputStream());
+            socket.getOutputStream().write(bytes("HTTP/1.1 200 OK~X-Request-Id: r~Content-Length: 0~~"));
+            first.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            loop.execute(() -> {
+                reset(socket);
+                connections.send(entry(), request("q"), new StatusListener(second));
+                calledInside.complete(second.isDone());
+            });
+            assertThat(calledInside.get(TIMEOUT_SECONDS, TimeUnit.SECONDS), is(false));
+        }
+        assertThrows(ExecutionException.class, () -> second.get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+    }
+
+    /** Closes a connection so that the other side gets a reset. */
+    private static void reset(Socket socket) {
+        try {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
     /** Answers a first request, and a second one, after a further copy of the first answer if the connection is the same. */
     private void serveWithCopies(byte[] answer, byte[] own) {
         try (Socket first = target.accept()) {
