Notify listeners of exchanges only after the request was sent

A write to a pooled connection that its target has just reset fails at once, and the listener was called inside TargetConnections.send. A call that is decided on its own instance then began its next run inside that call, and afterwards kept the exchange of the dead run as its current one: the new run could neither be cancelled nor slowed down, and a later run of the same call got its answers beside it.

Requests are written, and failures to connect reported, in a task of their own, so no listener is called before send has returned. A request for a connection that has meanwhile been closed is reported as not run, since nothing was written.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
@@ -132,7 +132,7 @@
         skippedBytes = 0;
         skippedAnswers = 0;
         requests++;
-        if (context == null) {
+        if (context == null || !open()) {
             ReferenceCountUtil.release(request);
             fail(Failure.Kind.UNAVAILABLE, "not connected", false);
             return;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnections.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnections.java
@@ -71,7 +71,8 @@
     }
 
     /**
-     * Sends a request to a target, over a pooled connection if there is one.
+     * Sends a request to a target, over a pooled connection if there is one. The listener is called only after this
+     * method has returned, also if the request cannot be sent.
      *
      * @param target The target that is to run the request.
      * @param targetRequest The request, whose body is not consumed.
@@ -80,33 +81,49 @@
      */
     public Exchange send(TargetEntry target, TargetRequest targetRequest, TargetListener listener) {
         Exchange exchange = new Exchange();
+        FullHttpRequest request = protocol.request(targetRequest, target);
         TargetConnection connection = pooled(target);
         if (connection != null) {
             exchange.connection = connection;
-            connection.send(protocol.request(targetRequest, target), targetRequest.id(), listener);
+            loop.execute(() -> send(exchange, connection, request, targetRequest.id(), listener));
             return exchange;
         }
         TargetConnection newConnection = new TargetConnection(target, protocol, this::release, observer);
-        FullHttpRequest request = protocol.request(targetRequest, target);
-        connect(target, newConnection).addListener((ChannelFuture connectFuture) -> {
-            if (exchange.cancelled) {
-                ReferenceCountUtil.release(request);
-                connectFuture.channel().close();
-            } else if (connectFuture.isSuccess()) {
-                exchange.connection = newConnection;
-                newConnection.send(request, targetRequest.id(), listener);
-            } else {
-                ReferenceCountUtil.release(request);
-                listener.failed(Failure.notRun(
-                        Failure.Kind.UNAVAILABLE,
-                        "target.connect",
-                        target.id(),
-                        String.valueOf(connectFuture.cause())));
-            }
-        });
+        // A connection that cannot be created fails at once.
+        connect(target, newConnection)
+                .addListener((ChannelFuture connectFuture) -> loop.execute(() -> {
+                    if (exchange.cancelled) {
+                        ReferenceCountUtil.release(request);
+                        connectFuture.channel().close();
+                    } else if (connectFuture.isSuccess()) {
+                        exchange.connection = newConnection;
+                        send(exchange, newConnection, request, targetRequest.id(), listener);
+                    } else {
+                        ReferenceCountUtil.release(request);
+                        listener.failed(Failure.notRun(
+                                Failure.Kind.UNAVAILABLE,
+                                "target.connect",
+                                target.id(),
+                                String.valueOf(connectFuture.cause())));
+                    }
+                }));
         return exchange;
     }
 
+    /** Sends a request over a connection, unless its answer is no longer wanted. */
+    private static void send(
+            Exchange exchange,
+            TargetConnection connection,
+            FullHttpRequest request,
+            String requestId,
+            TargetListener listener) {
+        if (exchange.cancelled) {
+            ReferenceCountUtil.release(request);
+        } else {
+            connection.send(request, requestId, listener);
+        }
+    }
+
     /** Closes idle connections to all targets but the given ones, now and in the future. */
     public void retainOnly(Set<String> targets) {
         retainedTargets = targets;
