Confine each run of an online request to an object of its own

The call itself was the listener of all of its runs, so nothing told an answer of the current run from one of a run that had been given up; that each of them had been cancelled was the only proof. OnlineRun listens to one run, holds its exchange, its splitter and its check for silence, and delivers nothing after its end. No decision changes otherwise.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -18,9 +18,7 @@
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.gateway.forward.Delivery;
 import org.tanagermoor.gateway.forward.EventFrames;
-import org.tanagermoor.gateway.forward.TargetConnections;
 import org.tanagermoor.gateway.forward.TargetHead;
-import org.tanagermoor.gateway.forward.TargetListener;
 import org.tanagermoor.gateway.forward.TargetRequest;
 import org.tanagermoor.kernel.failure.Execution;
 import org.tanagermoor.kernel.failure.Failure;
@@ -30,7 +28,7 @@
  * An online request, from its admission to the end of its answer. It runs at one target at a time. It is sent to
  * another target only if the first one did not run it, or if the route allows a repetition. Confined to the event loop.
  */
-final class OnlineCall implements Call, TargetListener {
+final class OnlineCall implements Call {
 
     /**
      * The time that is reserved for a target to send its first event, in nanoseconds: above the 99th percentile
@@ -44,12 +42,6 @@
     /** The time after which a caller may retry when no better value is known, in milliseconds. */
     private static final long RETRY_AFTER_MILLIS = 250;
 
-    /**
-     * The silence after which a target counts as lost, in milliseconds: far above the pauses of a slow target, and
-     * below the 2 s after which callers of streams stop waiting, so that a run at another target still reaches them.
-     */
-    private static final long SILENCE_TIMEOUT_MILLIS = 1_700;
-
     private final CallContext context;
 
     private final CallHead head;
@@ -86,16 +78,9 @@
     /** Whether the instance stops before the request is certain to be answered. */
     private boolean curtailed;
 
-    /** Splits the current answer into events; {@code null} if it is not a stream of events. */
-    @Nullable
-    private EventFrames frames;
-
-    /** {@code null} while the request is not at a target. */
-    private TargetConnections.@Nullable Exchange exchange;
-
-    /** The current or last target; {@code null} before the first one. */
+    /** The current or last run; {@code null} before the first one. */
     @Nullable
-    private TargetEntry target;
+    private OnlineRun run;
 
     /** The number of the current permit; 0 if there is none. */
     private long permit;
@@ -109,19 +94,12 @@
     /** Whether the head of an answer was sent to the caller. */
     private boolean headSent;
 
+    /** Whether the answer that is passed on is a stream of events. */
+    private boolean streaming;
+
     /** The number of the last event that was sent to the caller. */
     private long lastEvent;
 
-    /** The number of the last event before the current run. */
-    private long startEvent;
-
-    /** The next check for a silent target; {@code null} while no check is scheduled. */
-    @Nullable
-    private ScheduledFuture<?> silenceCheck;
-
-    /** The monotonic time in nanoseconds at which the target last sent something new. */
-    private long receivedAt;
-
     private boolean ended;
 
     OnlineCall(
@@ -195,16 +173,16 @@
     @Override
     public void left() {
         if (!ended) {
-            log.callerLeft(targetId(), exchange != null);
-            finish(exchange == null ? PlaceOutcome.UNUSED : PlaceOutcome.ABANDONED);
+            log.callerLeft(targetId(), running());
+            finish(running() ? PlaceOutcome.ABANDONED : PlaceOutcome.UNUSED);
         }
     }
 
     /** {@inheritDoc} */
     @Override
     public void writable(boolean value) {
-        if (exchange != null) {
-            exchange.setReading(value);
+        if (run != null) {
+            run.setReading(value);
         }
     }
 
@@ -219,7 +197,7 @@
         timer.cancel(false);
         long left = Math.max(0, nanos - context.time().nanos());
         timer = context.loop().schedule(this::timedOut, left, TimeUnit.NANOSECONDS);
-        if (exchange == null && attempts == 0) {
+        if (!running() && attempts == 0) {
             refuse(Refusal.ofLeaving("the instance ends before the deadline"));
         }
     }
@@ -254,59 +232,18 @@
             start();
             return;
         }
-        target = entry;
-        startEvent = lastEvent;
         attempts++;
         log.placed(id, left, now);
-        receivedAt = now;
-        scheduleSilenceCheck(SILENCE_TIMEOUT_MILLIS);
-        exchange = context.connections()
-                .send(
-                        entry,
-                        new TargetRequest(
-                                head.method(),
-                                head.uri(),
-                                head.headers(),
-                                requestBody,
-                                head.id(),
-                                team,
-                                left,
-                                lastEvent),
-                        this);
-    }
-
-    /**
-     * Schedules the next check whether the target is silent. Only streams send data all the time, and a run that may
-     * not be repeated is worth waiting for.
-     */
-    private void scheduleSilenceCheck(long millis) {
-        if (route.kind() == RouteKind.STREAM && route.repeatable()) {
-            silenceCheck = context.loop().schedule(this::checkSilence, millis, TimeUnit.MILLISECONDS);
-        }
+        run = new OnlineRun(context, this, entry, lastEvent);
+        // A run that may not be repeated is worth waiting for.
+        run.start(
+                new TargetRequest(
+                        head.method(), head.uri(), head.headers(), requestBody, head.id(), team, left, lastEvent),
+                route.kind() == RouteKind.STREAM && route.repeatable());
     }
 
-    /**
-     * Abandons a target that has become silent. A target whose caller does not read is not silent: it is held back by
-     * flow control.
-     */
-    private void checkSilence() {
-        if (ended || exchange == null) {
-            return;
-        }
-        long silentMillis = TimeUnit.NANOSECONDS.toMillis(context.time().nanos() - receivedAt);
-        if (silentMillis < SILENCE_TIMEOUT_MILLIS) {
-            scheduleSilenceCheck(SILENCE_TIMEOUT_MILLIS - silentMillis);
-        } else if (headSent && !responder.writable()) {
-            scheduleSilenceCheck(SILENCE_TIMEOUT_MILLIS);
-        } else {
-            retryOrFail("no event came for " + silentMillis + " ms");
-        }
-    }
-
-    /** {@inheritDoc} */
-    @Override
-    public void head(TargetHead answer, HttpResponse response) {
-        receivedAt = context.time().nanos();
+    /** Handles the head of the answer in a run. */
+    void headReceived(OnlineRun from, TargetHead answer, HttpResponse response) {
         log.headReceived(answer);
         if (answer.notRun() || answer.misdirected()) {
             retryNotRun("the target did not run the request", PlaceOutcome.FULL);
@@ -315,7 +252,10 @@
         } else if (answer.status() >= FIRST_FAILURE_STATUS && mayRepeat()) {
             retryOrFail("the target answered " + answer.status());
         } else {
-            frames = answer.events() ? EventFrames.of() : null;
+            streaming = answer.events();
+            if (streaming) {
+                from.splitIntoEvents();
+            }
             if (!headSent) {
                 headSent = true;
                 log.answerStarted(context.time().nanos());
@@ -324,39 +264,55 @@
         }
     }
 
-    /** {@inheritDoc} */
-    @Override
-    public void body(ByteBuf content) {
-        if (frames == null) {
-            receivedAt = context.time().nanos();
-            responder.body(content.retainedSlice());
-        } else {
-            forwardEvents(frames, content);
-        }
-        if (exchange != null && !responder.writable()) {
-            exchange.setReading(false);
-        }
+    /** Passes on a piece of a body that is not split into events. */
+    void bodyReceived(ByteBuf content) {
+        responder.body(content);
     }
 
-    /** {@inheritDoc} */
-    @Override
-    public void end(Delivery delivery) {
-        if (ended) {
+    /** Forwards a complete event, so that another target can resume after it. */
+    void eventReceived(OnlineRun from, EventFrames.Event event) {
+        if (event.number() > 0 && event.number() <= lastEvent) {
             return;
         }
-        if (frames != null && brokenOff(frames)) {
-            exchange = null;
+        if (event.number() > 0) {
+            lastEvent = event.number();
+            from.received();
+        } else if (route.kind() == RouteKind.STREAM && !event.comment()) {
+            retryOrFail("the bytes are not an event");
+            return;
+        }
+        responder.body(Unpooled.wrappedBuffer(event.bytes()));
+    }
+
+    /** Returns whether the caller takes more bytes. */
+    boolean callerReads() {
+        return !headSent || responder.writable();
+    }
+
+    /** Ends the run at a target that has been silent for a time in milliseconds. */
+    void targetSilent(long millis) {
+        retryOrFail("no event came for " + millis + " ms");
+    }
+
+    /**
+     * Handles the end of the answer in a run.
+     *
+     * @param from The run.
+     * @param stream The splitter of the answer; {@code null} if it is not split into events.
+     * @param delivery How the answer was delivered.
+     */
+    void answerEnded(OnlineRun from, @Nullable EventFrames stream, Delivery delivery) {
+        if (stream != null && brokenOff(stream)) {
             retryOrFail("the stream ended inside an event or before the first one", endedOutcome());
             return;
         }
-        if (frames != null && frames.remainder().length > 0) {
-            responder.body(Unpooled.wrappedBuffer(frames.remainder()));
+        if (stream != null && stream.remainder().length > 0) {
+            responder.body(Unpooled.wrappedBuffer(stream.remainder()));
         }
-        exchange = null;
         finish(PlaceOutcome.SERVED);
         log.answered(
-                targetId(),
-                lastEvent - startEvent,
+                from.targetId(),
+                lastEvent - from.startEvent(),
                 lastEvent,
                 attempts,
                 delivery,
@@ -369,13 +325,8 @@
         return stream.insideEvent() || (!stream.eventCompleted() && lastEvent == 0);
     }
 
-    /** {@inheritDoc} */
-    @Override
-    public void failed(Failure failure) {
-        if (ended) {
-            return;
-        }
-        exchange = null;
+    /** Handles the failure of a run. */
+    void runFailed(OnlineRun from, Failure failure) {
         if (failure.execution() == Execution.NOT_RUN) {
             retryNotRun(failure.detail(), PlaceOutcome.UNREACHABLE);
         } else {
@@ -384,29 +335,12 @@
         }
     }
 
-    /** Forwards complete events, so that another target can resume after the last of them. */
-    private void forwardEvents(EventFrames splitter, ByteBuf content) {
-        for (EventFrames.Event event : splitter.add(content)) {
-            if (event.number() > 0 && event.number() <= lastEvent) {
-                continue;
-            }
-            if (event.number() > 0) {
-                lastEvent = event.number();
-                receivedAt = context.time().nanos();
-            } else if (route.kind() == RouteKind.STREAM && !event.comment()) {
-                retryOrFail("the bytes are not an event");
-                return;
-            }
-            responder.body(Unpooled.wrappedBuffer(event.bytes()));
-        }
-    }
-
     /** Tries another target after one that did not run the request. */
     private void retryNotRun(String detail, PlaceOutcome outcome) {
         attempts--;
         recordFailure(detail, false);
         excluded.add(targetId());
-        stopExchange();
+        stopRun();
         returnPermit(outcome);
         start();
     }
@@ -419,9 +353,9 @@
     private void retryOrFail(String detail, PlaceOutcome outcome) {
         recordFailure(detail, true);
         excluded.add(targetId());
-        stopExchange();
+        stopRun();
         returnPermit(outcome);
-        boolean mayRunAgain = mayRepeat() && (!headSent || (frames != null && route.resumable()));
+        boolean mayRunAgain = mayRepeat() && (!headSent || (streaming && route.resumable()));
         if (mayRunAgain) {
             start();
         } else if (headSent) {
@@ -434,7 +368,7 @@
 
     /** Returns the outcome of a run whose connection has ended too early. */
     private PlaceOutcome endedOutcome() {
-        return PlaceOutcome.ofEarlyEnd(lastEvent - startEvent);
+        return PlaceOutcome.ofEarlyEnd(runEvents());
     }
 
     /** Returns whether the route, its attempts and the deadline allow another run. */
@@ -469,9 +403,8 @@
                 refusal.kind() == Refusal.Kind.UNAVAILABLE || refusal.kind() == Refusal.Kind.RATE_LIMITED;
         Refusal reported = promisesNotRun && attempts > 0 ? Refusal.of(Refusal.Kind.BROKEN, refusal.detail()) : refusal;
         log.refused(reported, context.time().nanos());
-        boolean streaming = headSent;
-        finish(exchange == null ? PlaceOutcome.UNUSED : PlaceOutcome.FAILED);
-        if (streaming) {
+        finish(running() ? PlaceOutcome.FAILED : PlaceOutcome.UNUSED);
+        if (headSent) {
             responder.abort();
         } else {
             responder.full(context.protocol().refusal(reported));
@@ -482,23 +415,23 @@
     private void finish(PlaceOutcome outcome) {
         ended = true;
         timer.cancel(false);
-        stopExchange();
+        stopRun();
         returnPermit(outcome);
         requestBody.release();
     }
 
-    /** Ends the current exchange, if there is one. */
-    private void stopExchange() {
-        if (silenceCheck != null) {
-            silenceCheck.cancel(false);
-            silenceCheck = null;
-        }
-        if (exchange != null) {
-            exchange.cancel();
-            exchange = null;
+    /** Ends the current run, if there is one. */
+    private void stopRun() {
+        if (run != null) {
+            run.stop();
         }
     }
 
+    /** Returns whether the request is at a target. */
+    private boolean running() {
+        return run != null && !run.ended();
+    }
+
     /** Releases the permit, if there is one. */
     private void returnPermit(PlaceOutcome outcome) {
         if (permit != 0) {
@@ -508,11 +441,16 @@
     }
 
     private void recordFailure(String detail, boolean mayHaveRun) {
-        log.exchangeFailed(targetId(), detail, mayHaveRun, lastEvent - startEvent, lastEvent, attempts);
+        log.exchangeFailed(targetId(), detail, mayHaveRun, runEvents(), lastEvent, attempts);
+    }
+
+    /** Returns the number of events of the current or last run. */
+    private long runEvents() {
+        return run == null ? 0 : lastEvent - run.startEvent();
     }
 
     /** Returns the identity of the current or last target; empty if there is none. */
     private String targetId() {
-        return target == null ? "" : target.id();
+        return run == null ? "" : run.targetId();
     }
 }
