Resume and continue only successes

OnlineCall took any stream below 500 for a continuation, and resumed whatever it had begun to pass on. Verdict names what the head of an answer says: not run, succeeded or failed. Only a success is resumed, and only a success continues it; after any other answer another target is asked, or the stream is broken off.

The users' record has the same form (streams only, a success at the caller, another status at the server), but names no request in our logs, so that this was their fault is likely and not shown.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -20,6 +20,7 @@
 import org.tanagermoor.gateway.forward.EventFrames;
 import org.tanagermoor.gateway.forward.TargetHead;
 import org.tanagermoor.gateway.forward.TargetRequest;
+import org.tanagermoor.gateway.forward.Verdict;
 import org.tanagermoor.kernel.failure.Execution;
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.policy.quarantine.QuarantineDecision;
@@ -36,8 +37,8 @@
      */
     private static final long FIRST_EVENT_RESERVE_NANOS = TimeUnit.MILLISECONDS.toNanos(110);
 
-    /** Statuses from this one on mean that the target failed. */
-    private static final int FIRST_FAILURE_STATUS = 500;
+    /** The first status of a failure that another target may not have. */
+    private static final int FIRST_REPEATABLE_STATUS = 500;
 
     /** The time after which a caller may retry when no better value is known, in milliseconds. */
     private static final long RETRY_AFTER_MILLIS = 250;
@@ -94,7 +95,7 @@
     /** Whether the head of an answer was sent to the caller. */
     private boolean headSent;
 
-    /** Whether the answer that is passed on is a stream of events. */
+    /** Whether the answer that is passed on is a successful stream of events, the only one that can be resumed. */
     private boolean streaming;
 
     /** The number of the last event that was sent to the caller. */
@@ -245,25 +246,37 @@
     /** Handles the head of the answer in a run. */
     void headReceived(OnlineRun from, TargetHead answer, HttpResponse response) {
         log.headReceived(answer);
-        if (answer.notRun() || answer.misdirected()) {
-            retryNotRun("the target did not run the request", PlaceOutcome.FULL);
-        } else if (headSent && !(answer.events() && answer.status() < FIRST_FAILURE_STATUS)) {
-            retryOrFail("the stream cannot be resumed there: " + answer.status());
-        } else if (answer.status() >= FIRST_FAILURE_STATUS && mayRepeat()) {
-            retryOrFail("the target answered " + answer.status());
-        } else {
-            streaming = answer.events();
-            if (streaming) {
-                from.splitIntoEvents();
-            }
-            if (!headSent) {
-                headSent = true;
-                log.answerStarted(context.time().nanos());
-                responder.head(context.protocol().head(response));
+        switch (Verdict.of(answer)) {
+            case Verdict.NotRun notRun -> retryNotRun("the target did not run the request", PlaceOutcome.FULL);
+            case Verdict.Failed failed
+            when headSent -> retryOrFail("the stream cannot be resumed there: " + failed.status());
+            case Verdict.Failed failed
+            when failed.status() >= FIRST_REPEATABLE_STATUS && mayRepeat() ->
+                retryOrFail("the target answered " + failed.status());
+            case Verdict.Failed failed -> passOn(from, answer, response);
+            case Verdict.Succeeded succeeded
+            when headSent && !answer.events() -> retryOrFail("the answer does not continue the stream");
+            case Verdict.Succeeded succeeded -> {
+                streaming = answer.events();
+                if (headSent) {
+                    from.splitIntoEvents();
+                } else {
+                    passOn(from, answer, response);
+                }
             }
         }
     }
 
+    /** Begins to pass on the answer in the current run. */
+    private void passOn(OnlineRun from, TargetHead answer, HttpResponse response) {
+        headSent = true;
+        if (answer.events()) {
+            from.splitIntoEvents();
+        }
+        log.answerStarted(context.time().nanos());
+        responder.head(context.protocol().head(response));
+    }
+
     /** Passes on a piece of a body that is not split into events. */
     void bodyReceived(ByteBuf content) {
         responder.body(content);
@@ -320,9 +333,12 @@
         responder.end();
     }
 
-    /** Returns whether a stream that has ended is not complete. One that was resumed may have no further event. */
+    /**
+     * Returns whether a stream that has ended is not complete. One that was resumed may have no further event, and a
+     * failure may have none at all.
+     */
     private boolean brokenOff(EventFrames stream) {
-        return stream.insideEvent() || (!stream.eventCompleted() && lastEvent == 0);
+        return stream.insideEvent() || (streaming && !stream.eventCompleted() && lastEvent == 0);
     }
 
     /** Handles the failure of a run. */
--- /dev/null
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/Verdict.java
@@ -0,0 +1,36 @@
+package org.tanagermoor.gateway.forward;
+
+import io.netty.handler.codec.http.HttpStatusClass;
+
+/** What the head of a target's answer says about the run of a request. */
+public sealed interface Verdict {
+
+    /**
+     * Returns what a head says.
+     *
+     * @param head The final head of an answer that names the request, not an informational one.
+     * @return The verdict.
+     */
+    static Verdict of(TargetHead head) {
+        if (head.notRun() || head.misdirected()) {
+            return new NotRun();
+        }
+        if (HttpStatusClass.valueOf(head.status()) != HttpStatusClass.SUCCESS) {
+            return new Failed(head.status());
+        }
+        return new Succeeded();
+    }
+
+    /** The target states that it did not run the request. */
+    record NotRun() implements Verdict {}
+
+    /** The request succeeds if the rest of the answer follows. */
+    record Succeeded() implements Verdict {}
+
+    /**
+     * The request failed at the target.
+     *
+     * @param status The HTTP status, which is no success.
+     */
+    record Failed(int status) implements Verdict {}
+}
