Pass on no success that its target has not signed

An answer with the status of a success but without the target's signature was passed on, or joined to a stream, whatever sent it. TargetHead.signed was decoded and read by nobody.

A success without a signature is a verdict of its own, Unproven: the request is repeated elsewhere where its route allows that, else the caller gets 502 before the first byte, or a stream that breaks off.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -248,6 +248,7 @@
         log.headReceived(answer);
         switch (Verdict.of(answer)) {
             case Verdict.NotRun notRun -> retryNotRun("the target did not run the request", PlaceOutcome.FULL);
+            case Verdict.Unproven unproven -> retryOrFail("the target did not sign its answer: " + unproven.status());
             case Verdict.Failed failed
             when headSent -> retryOrFail("the stream cannot be resumed there: " + failed.status());
             case Verdict.Failed failed
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/Verdict.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/Verdict.java
@@ -18,15 +18,22 @@
         if (HttpStatusClass.valueOf(head.status()) != HttpStatusClass.SUCCESS) {
             return new Failed(head.status());
         }
-        return new Succeeded();
+        return head.signed() ? new Succeeded() : new Unproven(head.status());
     }
 
     /** The target states that it did not run the request. */
     record NotRun() implements Verdict {}
 
-    /** The request succeeds if the rest of the answer follows. */
+    /** The target has signed a success, which is complete with the rest of the answer. */
     record Succeeded() implements Verdict {}
 
+    /**
+     * The status is that of a success, but nothing shows that the answer is the target's own.
+     *
+     * @param status The HTTP status.
+     */
+    record Unproven(int status) implements Verdict {}
+
     /**
      * The request failed at the target.
      *
