Complete no stream with a resumption that brings no event

A stream that had broken off was completed by a resumption with an empty answer, with comments only or with repeated events, so that callers took what they had for the whole.

A run that continues the stream of another one must bring a new event, as the first run of a stream must; else another target is asked, or the stream is broken off, and the caller may resume it. An answer to a caller's own resumption is passed on as its target sent it. The cost: a stream whose connection was reset between its last event and its end is broken off now.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -316,7 +316,7 @@
      * @param delivery How the answer was delivered.
      */
     void answerEnded(OnlineRun from, @Nullable EventFrames stream, Delivery delivery) {
-        if (stream != null && brokenOff(stream)) {
+        if (stream != null && brokenOff(from, stream)) {
             retryOrFail("the stream ended inside an event or before the first one", endedOutcome());
             return;
         }
@@ -335,11 +335,13 @@
     }
 
     /**
-     * Returns whether a stream that has ended is not complete. One that was resumed may have no further event, and a
-     * failure may have none at all.
+     * Returns whether a stream that has ended is not complete. A run that continues the stream of another must bring an
+     * event, since nothing else shows that there was none left. A failure may have no event.
      */
-    private boolean brokenOff(EventFrames stream) {
-        return stream.insideEvent() || (streaming && !stream.eventCompleted() && lastEvent == 0);
+    private boolean brokenOff(OnlineRun from, EventFrames stream) {
+        boolean continued = from.startEvent() > head.lastEvent();
+        boolean empty = continued ? lastEvent == from.startEvent() : !stream.eventCompleted() && lastEvent == 0;
+        return stream.insideEvent() || (streaming && empty);
     }
 
     /** Handles the failure of a run. */
