--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
@@ -275,7 +276,12 @@
             from.splitIntoEvents();
         }
         log.answerStarted(context.time().nanos());
-        responder.head(context.protocol().head(response));
+        HttpResponse forwarded = context.protocol().head(response);
+        if (streaming) {
+            // The rest may come from another run, whose bytes differ.
+            forwarded.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+        }
+        responder.head(forwarded);
     }
 
     /** Passes on a piece of a body that is not split into events. */
