Take no answer without a signature for the outcome of an item

An unsigned 200 became the result of an item, and an unsigned 422 or 500 counted as the target's word that the item can never be done or has failed; results stay for good.

Only a signed answer decides on an item; after another one it runs again, at another target.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -24,6 +24,7 @@
 import org.tanagermoor.gateway.forward.TargetHead;
 import org.tanagermoor.gateway.forward.TargetListener;
 import org.tanagermoor.gateway.forward.TargetRequest;
+import org.tanagermoor.gateway.forward.Verdict;
 import org.tanagermoor.gateway.prompt.PromptCodec;
 import org.tanagermoor.gateway.proto.ItemHeader;
 import org.tanagermoor.gateway.proto.ItemProgress;
@@ -46,9 +47,6 @@
     /** Status of a target for an item that can never be completed. */
     private static final int UNPROCESSABLE_STATUS = 422;
 
-    /** Status of a successful answer. */
-    private static final int OK_STATUS = 200;
-
     /** Delay before an item runs again after a failure, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 200;
 
@@ -117,8 +115,8 @@
     /** Splits the answer into events. */
     private EventFrames frames = EventFrames.of();
 
-    /** Status of the current answer; 0 before its head is received. */
-    private int status;
+    /** Whether the head of a success was received in the current run. */
+    private boolean accepted;
 
     /** Monotonic time at which the head or a new event was last received from the target, in nanoseconds. */
     private long lastReceivedAt;
@@ -319,7 +317,7 @@
         lastReceivedAt = startedAt;
         target = entry;
         frames = EventFrames.of();
-        status = 0;
+        accepted = false;
         log.recordRunStart(id, lastEvent, startedAt);
         Map<String, String> headers = new LinkedHashMap<>();
         for (ItemHeader header : item.getHeadersList()) {
@@ -346,32 +344,43 @@
     @Override
     public void head(TargetHead head, HttpResponse response) {
         lastReceivedAt = context.time().nanos();
-        status = head.status();
         log.answerStarted(head);
-        if (head.notRun() || head.misdirected()) {
-            recordFailedRun("the target did not run the item: " + status);
-            excluded.add(targetId());
-            stopExchange();
-            retry(PlaceOutcome.FULL, RETRY_DELAY_MILLIS);
-        } else if (status == UNPROCESSABLE_STATUS) {
-            abandon("the target says that the item can never be done", PlaceOutcome.SERVED);
-        } else if (status != OK_STATUS) {
-            failures += status == FAILED_STATUS ? 1 : 0;
-            recordFailedRun("the target answered " + status + ", failures " + failures);
-            excluded.add(targetId());
-            stopExchange();
-            if (failures >= job.attempts()) {
-                abandon("the item failed in " + failures + " runs", PlaceOutcome.SERVED);
-            } else {
-                retry(PlaceOutcome.SERVED, RETRY_DELAY_MILLIS);
+        switch (Verdict.of(head)) {
+            case Verdict.Succeeded succeeded -> accepted = true;
+            case Verdict.NotRun notRun -> {
+                recordFailedRun("the target did not run the item: " + head.status());
+                excluded.add(targetId());
+                stopExchange();
+                retry(PlaceOutcome.FULL, RETRY_DELAY_MILLIS);
             }
+            case Verdict.Unproven unproven -> failExchange("the target did not sign its answer: " + unproven.status());
+            case Verdict.Failed failed
+            when !head.signed() -> failExchange("the target did not sign its answer: " + failed.status());
+            case Verdict.Failed failed -> failed(failed.status());
+        }
+    }
+
+    /** Handles a failure that the target has signed. */
+    private void failed(int status) {
+        if (status == UNPROCESSABLE_STATUS) {
+            abandon("the target says that the item can never be done", PlaceOutcome.SERVED);
+            return;
+        }
+        failures += status == FAILED_STATUS ? 1 : 0;
+        recordFailedRun("the target answered " + status + ", failures " + failures);
+        excluded.add(targetId());
+        stopExchange();
+        if (failures >= job.attempts()) {
+            abandon("the item failed in " + failures + " runs", PlaceOutcome.SERVED);
+        } else {
+            retry(PlaceOutcome.SERVED, RETRY_DELAY_MILLIS);
         }
     }
 
     /** {@inheritDoc} */
     @Override
     public void body(ByteBuf content) {
-        if (state != State.RUNNING || status != OK_STATUS) {
+        if (state != State.RUNNING || !accepted) {
             return;
         }
         for (EventFrames.Event event : frames.add(content)) {
@@ -397,7 +406,7 @@
     /** {@inheritDoc} */
     @Override
     public void end(Delivery delivery) {
-        if (state != State.RUNNING || status != OK_STATUS) {
+        if (state != State.RUNNING || !accepted) {
             return;
         }
         exchange = null;
