Run an item anew whose resumption brings no event

An item whose run had broken off was completed with the output up to there if the target that was asked for the rest sent an empty success, so that a part was kept as the result for good.

Nothing in such an answer shows whether events were left. An item may run more than once, so its output is discarded and it begins anew, at another target.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -410,6 +410,11 @@
             return;
         }
         exchange = null;
+        if (startEvent > 0 && lastEvent == startEvent && !frames.insideEvent()) {
+            recordFailedRun("the target has no event after event " + lastEvent);
+            beginAnew(RETRY_DELAY_MILLIS);
+            return;
+        }
         if (lastEvent == 0 || frames.insideEvent()) {
             recordFailedRun("the answer ended inside an event");
             excluded.add(targetId());
@@ -510,13 +515,18 @@
     private void failTooLong() {
         recordFailedRun(
                 "the output is longer than " + JobContext.MAX_ANSWER_BYTES + " bytes, which a reader can receive");
-        excluded.add(targetId());
         stopExchange();
+        beginAnew(tooLongPauseMillis);
+        tooLongPauseMillis = Math.min(MAX_TOO_LONG_PAUSE_MILLIS, 2 * tooLongPauseMillis);
+    }
+
+    /** Discards the output. The item runs from its beginning, at another target, after a pause in milliseconds. */
+    private void beginAnew(long millis) {
+        excluded.add(targetId());
         output.setLength(0);
         answerBytes = 0;
         lastEvent = 0;
-        retry(PlaceOutcome.FAILED, tooLongPauseMillis);
-        tooLongPauseMillis = Math.min(MAX_TOO_LONG_PAUSE_MILLIS, 2 * tooLongPauseMillis);
+        retry(PlaceOutcome.FAILED, millis);
     }
 
     /** Ends the current run, whose target misbehaves or is silent; the item resumes at another target. */
