Believe the end of an answer without a length only from a target that still runs

A process that is killed closes its connections in order where it has read all that was sent to it, and each event is a write of its own, so an answer without a length or chunks ends between two events as if the target had ended it. Only an end inside an event was told from that.

The pool opens the connection for the next request to the same target at once. If the target takes it, the answer is complete, and the connection is kept in place of the one that ended; if not, the run has failed: it is resumed where the route allows that, else the caller's answer is broken off. An answer with a length or in chunks proves its own end and costs nothing.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
@@ -41,6 +41,9 @@
     /** Called with this connection when it becomes idle. */
     private final Consumer<TargetConnection> onIdle;
 
+    /** Called with this connection when it ended an answer that does not state its length. */
+    private final Consumer<TargetConnection> onUnframedEnd;
+
     private final TargetObserver observer;
 
     /** {@code null} before the connection is established. */
@@ -74,6 +77,9 @@
     /** Whether the current answer states where it ends. */
     private boolean framed;
 
+    /** Whether the answer ended with the connection, and it is not known yet whether the target ended it. */
+    private boolean endUnconfirmed;
+
     /** The number of requests that were sent over the connection. */
     private int requests;
 
@@ -93,10 +99,15 @@
     private long idleSince;
 
     TargetConnection(
-            TargetEntry target, TargetProtocol protocol, Consumer<TargetConnection> onIdle, TargetObserver observer) {
+            TargetEntry target,
+            TargetProtocol protocol,
+            Consumer<TargetConnection> onIdle,
+            Consumer<TargetConnection> onUnframedEnd,
+            TargetObserver observer) {
         this.target = target;
         this.protocol = protocol;
         this.onIdle = onIdle;
+        this.onUnframedEnd = onUnframedEnd;
         this.observer = observer;
     }
 
@@ -179,7 +190,9 @@
     /** {@inheritDoc} */
     @Override
     public void channelInactive(ChannelHandlerContext value) {
-        fail(Failure.Kind.UNAVAILABLE, "the connection was closed", true);
+        if (!endUnconfirmed) {
+            fail(Failure.Kind.UNAVAILABLE, "the connection was closed", true);
+        }
     }
 
     /** {@inheritDoc} */
@@ -280,8 +293,27 @@
         }
     }
 
-    /** Ends an exchange whose answer is complete. */
+    /** Ends an exchange whose answer is complete if its target still runs. */
+    void confirmEnd() {
+        TargetListener receiver = listener;
+        listener = null;
+        if (receiver != null) {
+            receiver.end(new Delivery(false, requests > 1, skippedAnswers));
+        }
+    }
+
+    /** Fails an exchange whose target does not run any more: its crash may have ended the answer. */
+    void denyEnd(String detail) {
+        fail(Failure.Kind.UNAVAILABLE, detail, true);
+    }
+
+    /** Ends an exchange whose answer has ended. */
     private void finish(TargetListener receiver) {
+        if (!framed && !open()) {
+            endUnconfirmed = true;
+            onUnframedEnd.accept(this);
+            return;
+        }
         listener = null;
         head = null;
         boolean requestWritten = requestWrite != null && requestWrite.isSuccess();
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnections.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnections.java
@@ -88,7 +88,7 @@
             loop.execute(() -> send(exchange, connection, request, targetRequest.id(), listener));
             return exchange;
         }
-        TargetConnection newConnection = new TargetConnection(target, protocol, this::release, observer);
+        TargetConnection newConnection = newConnection(target);
         // A connection that cannot be created fails at once.
         connect(target, newConnection)
                 .addListener((ChannelFuture connectFuture) -> loop.execute(() -> {
@@ -124,6 +124,27 @@
         }
     }
 
+    private TargetConnection newConnection(TargetEntry target) {
+        return new TargetConnection(target, protocol, this::release, this::confirmEnd, observer);
+    }
+
+    /**
+     * Confirms that a target ended an answer that does not state its length, by a connection for the next request. A
+     * target that crashed has closed its connections in the same way, but takes no new ones.
+     */
+    private void confirmEnd(TargetConnection ended) {
+        TargetConnection next = newConnection(ended.target());
+        connect(ended.target(), next)
+                .addListener((ChannelFuture connectFuture) -> loop.execute(() -> {
+                    if (connectFuture.isSuccess()) {
+                        release(next);
+                        ended.confirmEnd();
+                    } else {
+                        ended.denyEnd("the answer ended as its target became unreachable: " + connectFuture.cause());
+                    }
+                }));
+    }
+
     /** Closes idle connections to all targets but the given ones, now and in the future. */
     public void retainOnly(Set<String> targets) {
         retainedTargets = targets;
