Join no run to a stream that leaves an event out

A target that was asked to continue after event n and began with a later event than n + 1 was joined to the events before, and the caller got a stream without a piece, complete. PROTOCOL.md: given Last-Event-Id n, any server resumes at n + 1.

The first event of a run that continues another one must be the next; else another target is asked, or the stream is broken off.

AnswerProofSessionTest.joinsNoRunThatLeavesAnEventOut failed before and passes, as do the other tests of the class.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -294,6 +294,11 @@
         if (event.number() > 0 && event.number() <= lastEvent) {
             return;
         }
+        boolean first = lastEvent == from.startEvent();
+        if (first && continued(from) && event.number() > lastEvent + 1) {
+            retryOrFail("event " + event.number() + " came after event " + lastEvent);
+            return;
+        }
         if (event.number() > 0) {
             lastEvent = event.number();
             from.received();
@@ -345,11 +350,15 @@
      * event, since nothing else shows that there was none left. A failure may have no event.
      */
     private boolean brokenOff(OnlineRun from, EventFrames stream) {
-        boolean continued = from.startEvent() > head.lastEvent();
-        boolean empty = continued ? lastEvent == from.startEvent() : !stream.eventCompleted() && lastEvent == 0;
+        boolean empty = continued(from) ? lastEvent == from.startEvent() : !stream.eventCompleted() && lastEvent == 0;
         return stream.insideEvent() || (streaming && empty);
     }
 
+    /** Returns whether a run continues the stream of an earlier one. */
+    private boolean continued(OnlineRun from) {
+        return from.startEvent() > head.lastEvent();
+    }
+
     /** Handles the failure of a run. */
     void runFailed(OnlineRun from, Failure failure) {
         if (failure.execution() == Execution.NOT_RUN) {
