--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/TargetConnectionsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/TargetConnectionsTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.buffer.ByteBuf;
@@ -36,6 +37,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.kernel.setting.Address;
@@ -185,6 +187,65 @@
         assertThrows(ExecutionException.class, () -> second.get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
     }
 
+    /** An answer that stopped inside its head gave its status to the answer that followed on the connection. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 ",
+                "HTTP/1.1 200 O",
+                "HTTP/1.1 200 OK~Content-Type: text/event-stream",
+                "HTTP/1.1 200 OK~Content-Type:"
+            })
+    void joinsNoHeadThatStopsShortToTheNextAnswer(String cut)
+            throws InterruptedException, ExecutionException, TimeoutException {
+        String failure = "HTTP/1.1 500 No~X-Request-Id: q~Content-Length: 1~~y";
+        assertThat(statusOfSecond(cut, failure), is(not("200")));
+    }
+
+    /** A refusal that names no request, and may belong to an earlier one, said that the current one has not run. */
+    @Test
+    void takesNoRefusalWithoutANameOnAUsedConnection()
+            throws InterruptedException, ExecutionException, TimeoutException {
+        String copy = "HTTP/1.1 503 Full~X-Not-Run: 1~Content-Length: 0~~";
+        String own = "HTTP/1.1 201 OK~X-Request-Id: q~Content-Length: 1~~y";
+        assertThat(statusOfSecond("", copy + own), is(not("503")));
+    }
+
+    /**
+     * Returns the status of the answer to a second request on a connection, or the failure.
+     *
+     * @param between What the target sends after its answer to the first request.
+     * @param answer What it sends after the second request.
+     */
+    private String statusOfSecond(String between, String answer)
+            throws InterruptedException, ExecutionException, TimeoutException {
+        CompletableFuture<Void> served = CompletableFuture.runAsync(() -> {
+            try (Socket socket = target.accept()) {
+                awaitRequest(socket.getInputStream());
+                socket.getOutputStream().write(bytes("HTTP/1.1 200 OK~X-Request-Id: r~Content-Length: 1~~x" + between));
+                awaitRequest(socket.getInputStream());
+                socket.getOutputStream().write(bytes(answer));
+            } catch (IOException closed) {
+                // The connection was not used again.
+                return;
+            }
+        });
+        EventLoop loop = group.next();
+        TargetConnections connections = TargetConnections.of(
+                loop, new Protocol(), TimeSource.ForSystem.INSTANCE, TargetObserver.Disabled.INSTANCE);
+        CompletableFuture<Integer> first = new CompletableFuture<>();
+        CompletableFuture<Integer> second = new CompletableFuture<>();
+        loop.execute(() -> {
+            connections.retainOnly(Set.of("t"));
+            connections.send(entry(), request("r"), new StatusListener(first));
+        });
+        first.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        loop.execute(() -> connections.send(entry(), request("q"), new StatusListener(second)));
+        served.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        return second.handle((status, failure) -> failure == null ? String.valueOf(status) : failure.getMessage())
+                .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
     /** Closes a connection so that the other side gets a reset. */
     private static void reset(Socket socket) {
         try {
