Refuse an answer whose head goes on with that of another one

A target that stops inside the head of an extra answer, for example in its reason phrase, and then sends its answer to the next request, gave that answer the status of the extra one: a 500 with its own identity and signature reached the caller as 200. The bytes before the status line may wait unseen in the decoder of a pooled connection.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
@@ -12,6 +12,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.kernel.failure.Failure;
@@ -34,6 +35,9 @@
     /** The number of bytes that the head of a skipped answer is counted as: the size of a short one. */
     private static final long SKIPPED_HEAD_BYTES = 256;
 
+    /** Matches the status line of another answer inside a head. */
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+
     private final TargetEntry target;
 
     private final TargetProtocol protocol;
@@ -216,6 +220,11 @@
 
     /** Handles the head of an answer. */
     private void receiveHead(HttpResponse response) {
+        if (joined(response)) {
+            connectionFailed = true;
+            close(Failure.Kind.CORRUPT, "the head of an answer goes on with that of another one");
+            return;
+        }
         TargetHead read = protocol.head(response);
         if (read.leaving()) {
             observer.leaving(target);
@@ -251,6 +260,14 @@
 
     /** Counts bytes that belong to no request, and ends the exchange if there are too many. */
     private void countSkipped(long bytes) {
+    /** Returns whether the target stopped inside the head of an answer and went on with another answer. */
+    private static boolean joined(HttpResponse response) {
+        return STATUS_LINE.matcher(response.status().reasonPhrase()).find()
+                || response.headers().entries().stream()
+                        .anyMatch(
+                                header -> STATUS_LINE.matcher(header.getValue()).find());
+    }
+
         skippedBytes += bytes;
         if (skippedBytes > MAX_SKIPPED_BYTES) {
             close(Failure.Kind.CORRUPT, "too many bytes that belong to no request");
