Take a refusal without a name only on a new connection

A late copy of a refusal that names no request was taken for the answer to the next request on the connection, which was then reported as not run, sent to another target or answered 503, although the target ran it. On a new connection nothing else can have caused the refusal.

TargetConnectionsTest.takesNoRefusalWithoutANameOnAUsedConnection failed before.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
@@ -235,7 +235,9 @@
             return;
         }
         boolean forOtherRequest = !read.id().isEmpty() && !read.id().equals(id);
-        boolean anonymous = read.id().isEmpty() && !read.notRun() && !read.misdirected();
+        // Nothing else than this request can have caused a refusal on a new connection.
+        boolean refusalOfThis = requests == 1 && (read.notRun() || read.misdirected());
+        boolean anonymous = read.id().isEmpty() && !refusalOfThis;
         if (forOtherRequest) {
             skipping = true;
             skippedAnswers++;
@@ -258,8 +260,6 @@
         }
     }
 
-    /** Counts bytes that belong to no request, and ends the exchange if there are too many. */
-    private void countSkipped(long bytes) {
     /** Returns whether the target stopped inside the head of an answer and went on with another answer. */
     private static boolean joined(HttpResponse response) {
         return STATUS_LINE.matcher(response.status().reasonPhrase()).find()
@@ -268,6 +268,8 @@
                                 header -> STATUS_LINE.matcher(header.getValue()).find());
     }
 
+    /** Counts bytes that belong to no request, and ends the exchange if there are too many. */
+    private void countSkipped(long bytes) {
         skippedBytes += bytes;
         if (skippedBytes > MAX_SKIPPED_BYTES) {
             close(Failure.Kind.CORRUPT, "too many bytes that belong to no request");
