Continue no stream after an event that is missing

The first event of a run that continues a stream was passed on whatever its number was, so that a stream could lack events and look complete. ItemRun has required the next number all along.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -294,6 +294,10 @@
         if (event.number() > 0 && event.number() <= lastEvent) {
             return;
         }
+        if (continues(from) && lastEvent == from.startEvent() && event.number() > lastEvent + 1) {
+            retryOrFail("event " + event.number() + " came after event " + lastEvent);
+            return;
+        }
         if (event.number() > 0) {
             lastEvent = event.number();
             from.received();
@@ -345,13 +349,17 @@
      * event, since nothing else shows that there was none left. A failure may have no event.
      */
     private boolean brokenOff(OnlineRun from, EventFrames stream) {
-        boolean continued = from.startEvent() > head.lastEvent();
-        boolean empty = continued ? lastEvent == from.startEvent() : !stream.eventCompleted() && lastEvent == 0;
+        boolean empty = continues(from) ? lastEvent == from.startEvent() : !stream.eventCompleted() && lastEvent == 0;
         return stream.insideEvent() || (streaming && empty);
     }
 
     /** Handles the failure of a run. */
     void runFailed(OnlineRun from, Failure failure) {
+    /** Returns whether a run continues the stream of another one. */
+    private boolean continues(OnlineRun from) {
+        return from.startEvent() > head.lastEvent();
+    }
+
         if (failure.execution() == Execution.NOT_RUN) {
             retryNotRun(failure.detail(), PlaceOutcome.UNREACHABLE);
         } else {
