Pass on all events of a failure

A failure that is a stream of events kept its length, but lost the events that the caller said to have: the caller waited for the missing bytes, and would have taken them from the next answer on the connection.

AnswerProofSessionTest.passesOnAFailureWithAllBytesOfItsLength failed before.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -291,7 +291,7 @@
 
     /** Forwards a complete event, so that another target can resume after it. */
     void eventReceived(OnlineRun from, EventFrames.Event event) {
-        if (event.number() > 0 && event.number() <= lastEvent) {
+        if (streaming && event.number() > 0 && event.number() <= lastEvent) {
             return;
         }
         if (continues(from) && lastEvent == from.startEvent() && event.number() > lastEvent + 1) {
@@ -299,7 +299,7 @@
             return;
         }
         if (event.number() > 0) {
-            lastEvent = event.number();
+            lastEvent = Math.max(lastEvent, event.number());
             from.received();
         } else if (route.kind() == RouteKind.STREAM && !event.comment()) {
             retryOrFail("the bytes are not an event");
