Pass on no unsigned status that promises that a request has not run

A 408, 429 or 503 with neither a signature nor the statement that the request was not run was passed on, and promised the caller what no target had promised.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/Verdict.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/Verdict.java
@@ -1,10 +1,14 @@
 package org.tanagermoor.gateway.forward;
 
 import io.netty.handler.codec.http.HttpStatusClass;
+import java.util.Set;
 
 /** What the head of a target's answer says about the run of a request. */
 public sealed interface Verdict {
 
+    /** The statuses that promise a caller that its request has not run. */
+    Set<Integer> PROMISES = Set.of(408, 429, 503);
+
     /**
      * Returns what a head says.
      *
@@ -15,10 +19,11 @@
         if (head.notRun() || head.misdirected()) {
             return new NotRun();
         }
-        if (HttpStatusClass.valueOf(head.status()) != HttpStatusClass.SUCCESS) {
-            return new Failed(head.status());
+        boolean success = HttpStatusClass.valueOf(head.status()) == HttpStatusClass.SUCCESS;
+        if (!head.signed() && (success || PROMISES.contains(head.status()))) {
+            return new Unproven(head.status());
         }
-        return head.signed() ? new Succeeded() : new Unproven(head.status());
+        return success ? new Succeeded() : new Failed(head.status());
     }
 
     /** The target states that it did not run the request. */
@@ -28,7 +33,8 @@
     record Succeeded() implements Verdict {}
 
     /**
-     * The status is that of a success, but nothing shows that the answer is the target's own.
+     * The status is that of a success, or promises that the request has not run, but nothing shows that the answer is
+     * the target's own.
      *
      * @param status The HTTP status.
      */
