Count no complete answer as a crash

An answer that ended by its length or its last chunk, but without a new event, counted as a target that crashed, also where it was the answer to a resumption.

AnswerProofSessionTest.countsNoCompleteAnswerAsACrash failed before.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -327,7 +327,9 @@
      */
     void answerEnded(OnlineRun from, @Nullable EventFrames stream, Delivery delivery) {
         if (stream != null && brokenOff(from, stream)) {
-            retryOrFail("the stream ended inside an event or before the first one", endedOutcome());
+            retryOrFail(
+                    "the stream ended inside an event or before the first one",
+                    delivery.framed() ? PlaceOutcome.FAILED : endedOutcome());
             return;
         }
         if (stream != null && stream.remainder().length > 0) {
@@ -353,13 +355,13 @@
         return stream.insideEvent() || (streaming && empty);
     }
 
-    /** Handles the failure of a run. */
-    void runFailed(OnlineRun from, Failure failure) {
     /** Returns whether a run continues the stream of another one. */
     private boolean continues(OnlineRun from) {
         return from.startEvent() > head.lastEvent();
     }
 
+    /** Handles the failure of a run. */
+    void runFailed(OnlineRun from, Failure failure) {
         if (failure.execution() == Execution.NOT_RUN) {
             retryNotRun(failure.detail(), PlaceOutcome.UNREACHABLE);
         } else {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -418,7 +418,9 @@
         if (lastEvent == 0 || frames.insideEvent()) {
             recordFailedRun("the answer ended inside an event");
             excluded.add(targetId());
-            retry(PlaceOutcome.ofEarlyEnd(lastEvent - startEvent), RETRY_DELAY_MILLIS);
+            retry(
+                    delivery.framed() ? PlaceOutcome.FAILED : PlaceOutcome.ofEarlyEnd(lastEvent - startEvent),
+                    RETRY_DELAY_MILLIS);
             return;
         }
         context.pace().recordEnd(lastEvent);
