Send the refusal of a long request after the answers before it

The 413 for a request that is too long was written when its head arrived, before the answer to an earlier request on the same connection, which the caller took it for. It now takes its turn.

AnswerProofSessionTest.refusesARequestThatIsTooLongOnlyAfterTheAnswerBeforeIt failed before.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/CallerConnection.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/CallerConnection.java
@@ -102,7 +102,7 @@
     }
 
     private void startExchange(ChannelHandlerContext context, FullHttpRequest request) {
-        boolean decoded = request.decoderResult().isSuccess();
+        boolean decoded = request.decoderResult().isSuccess() || RequestAggregator.tooLong(request);
         Exchange exchange = new Exchange(context, decoded && HttpUtil.isKeepAlive(request));
         current = exchange;
         try {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/Edge.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/Edge.java
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.timeout.IdleStateHandler;
@@ -177,12 +176,15 @@
                                 MAX_REQUEST_LINE_BYTES,
                                 limits.maxHeaderBytes() * HEADER_PARSER_FACTOR,
                                 MAX_CHUNK_BYTES),
-                        new HttpObjectAggregator(limits.maxBodyBytes()),
+                        new RequestAggregator(limits.maxBodyBytes()),
                         new IdleStateHandler(0, 0, limits.idleTimeoutMillis(), TimeUnit.MILLISECONDS),
                         new CallerConnection(this::handle, liveness::stopping, active, context.events()));
     }
 
     private Call handle(FullHttpRequest request, Responder responder) {
+        if (RequestAggregator.tooLong(request)) {
+            return refuse(responder, "", Refusal.of(Refusal.Kind.TOO_LARGE, "the body is too long"));
+        }
         if (request.decoderResult().isFailure()) {
             return refuse(responder, "", Refusal.of(Refusal.Kind.MALFORMED, "the request is malformed"));
         }
