Take no event that goes on with the head of another answer

An event with lines after its fields that are no fields has no number now, as no event of a target has: an online stream is broken off or resumed before it, and an item resumes before it.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/EventFrames.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/EventFrames.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 /**
  * Splits a stream of server-sent events into complete events without changing a byte. Not safe for use by several
@@ -25,6 +26,9 @@
     /** The name of the field with the data of an event. */
     private static final String DATA = "data:";
 
+    /** The names of the fields of events. Targets put other fields only before these. */
+    private static final Set<String> FIELDS = Set.of("id", "data", "event", "retry");
+
     /** The bytes of the event that is not complete yet. */
     private final ByteBuf pending = Unpooled.buffer(256);
 
@@ -130,12 +134,18 @@
         StringBuilder data = new StringBuilder();
         boolean hasData = false;
         boolean comment = true;
+        boolean fieldSeen = false;
+        boolean joined = false;
         for (int start = 0; start < bytes.length; ) {
             int lineEnd = lineEnd(bytes, start);
             boolean carriageReturn = lineEnd > start && lineEnd < bytes.length && bytes[lineEnd - 1] == '\r';
             int length = (carriageReturn ? lineEnd - 1 : lineEnd) - start;
             String line = new String(bytes, start, length, StandardCharsets.UTF_8);
-            comment &= line.isEmpty() || line.startsWith(COMMENT);
+            boolean ignored = line.isEmpty() || line.startsWith(COMMENT);
+            boolean field = FIELDS.contains(name(line));
+            comment &= ignored;
+            joined |= fieldSeen && !field && !ignored;
+            fieldSeen |= field;
             if (line.startsWith(ID)) {
                 number = number(value(line, ID));
             } else if (line.startsWith(DATA)) {
@@ -144,7 +154,7 @@
             }
             start = lineEnd + 1;
         }
-        return new Event(bytes, number, data.toString(), comment);
+        return new Event(bytes, joined ? 0 : number, data.toString(), comment);
     }
 
     /** Returns the index of the line feed that ends a line, or the number of bytes if there is none. */
@@ -156,6 +166,12 @@
         return index;
     }
 
+    /** Returns the name of the field in a line, which is the whole line if it has no colon. */
+    private static String name(String line) {
+        int colon = line.indexOf(':');
+        return colon < 0 ? line : line.substring(0, colon);
+    }
+
     /** Returns the value of a field, without the one space that may precede it. */
     private static String value(String line, String field) {
         String value = line.substring(field.length());
@@ -175,7 +191,7 @@
      * A complete event or comment of a stream.
      *
      * @param bytes Its bytes, with the empty line that ends it.
-     * @param number Its number; 0 if it has none.
+     * @param number Its number; 0 if it has none, or if other bytes than those of an event follow its first field.
      * @param data The values of its data fields, joined by line feeds.
      * @param comment Whether it has no field, like the comments that targets send to keep a stream alive.
      */
