--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -291,16 +291,15 @@
 
     /** Forwards a complete event, so that another target can resume after it. */
     void eventReceived(OnlineRun from, EventFrames.Event event) {
-        if (event.number() > 0 && event.number() <= lastEvent) {
+        if (streaming && event.number() > 0 && event.number() <= lastEvent) {
             return;
         }
-        boolean first = lastEvent == from.startEvent();
-        if (first && continued(from) && event.number() > lastEvent + 1) {
+        if (continues(from) && lastEvent == from.startEvent() && event.number() > lastEvent + 1) {
             retryOrFail("event " + event.number() + " came after event " + lastEvent);
             return;
         }
         if (event.number() > 0) {
-            lastEvent = event.number();
+            lastEvent = Math.max(lastEvent, event.number());
             from.received();
         } else if (route.kind() == RouteKind.STREAM && !event.comment()) {
             retryOrFail("the bytes are not an event");
@@ -328,7 +327,9 @@
      */
     void answerEnded(OnlineRun from, @Nullable EventFrames stream, Delivery delivery) {
         if (stream != null && brokenOff(from, stream)) {
-            retryOrFail("the stream ended inside an event or before the first one", endedOutcome());
+            retryOrFail(
+                    "the stream ended inside an event or before the first one",
+                    delivery.framed() ? PlaceOutcome.FAILED : endedOutcome());
             return;
         }
         if (stream != null && stream.remainder().length > 0) {
@@ -350,12 +351,12 @@
      * event, since nothing else shows that there was none left. A failure may have no event.
      */
     private boolean brokenOff(OnlineRun from, EventFrames stream) {
-        boolean empty = continued(from) ? lastEvent == from.startEvent() : !stream.eventCompleted() && lastEvent == 0;
+        boolean empty = continues(from) ? lastEvent == from.startEvent() : !stream.eventCompleted() && lastEvent == 0;
         return stream.insideEvent() || (streaming && empty);
     }
 
-    /** Returns whether a run continues the stream of an earlier one. */
-    private boolean continued(OnlineRun from) {
+    /** Returns whether a run continues the stream of another one. */
+    private boolean continues(OnlineRun from) {
         return from.startEvent() > head.lastEvent();
     }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
@@ -12,6 +12,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.kernel.failure.Failure;
@@ -34,6 +35,9 @@
     /** The number of bytes that the head of a skipped answer is counted as: the size of a short one. */
     private static final long SKIPPED_HEAD_BYTES = 256;
 
+    /** Matches the status line of another answer inside a head. */
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+
     private final TargetEntry target;
 
     private final TargetProtocol protocol;
@@ -229,6 +233,11 @@
 
     /** Handles the head of an answer. */
     private void receiveHead(HttpResponse response) {
+        if (joined(response)) {
+            connectionFailed = true;
+            close(Failure.Kind.CORRUPT, "the head of an answer goes on with that of another one");
+            return;
+        }
         TargetHead read = protocol.head(response);
         if (read.leaving()) {
             observer.leaving(target);
@@ -239,7 +248,9 @@
             return;
         }
         boolean forOtherRequest = !read.id().isEmpty() && !read.id().equals(id);
-        boolean anonymous = read.id().isEmpty() && !read.notRun() && !read.misdirected();
+        // Nothing else than this request can have caused a refusal on a new connection.
+        boolean refusalOfThis = requests == 1 && (read.notRun() || read.misdirected());
+        boolean anonymous = read.id().isEmpty() && !refusalOfThis;
         if (forOtherRequest) {
             skipping = true;
             skippedAnswers++;
@@ -262,6 +273,14 @@
         }
     }
 
+    /** Returns whether the target stopped inside the head of an answer and went on with another answer. */
+    private static boolean joined(HttpResponse response) {
+        return STATUS_LINE.matcher(response.status().reasonPhrase()).find()
+                || response.headers().entries().stream()
+                        .anyMatch(
+                                header -> STATUS_LINE.matcher(header.getValue()).find());
+    }
+
     /** Counts bytes that belong to no request, and ends the exchange if there are too many. */
     private void countSkipped(long bytes) {
         skippedBytes += bytes;
