Close an idle connection on which bytes arrive

A whole answer on an idle connection closed it already.

TargetConnectionsTest.closesAnIdleConnectionOnWhichBytesArrive failed before in 2 of its 3 cases and passes, as do the other tests of the class. Bytes that come with the end of an answer, or after the next request was sent, are left to the check of heads.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
@@ -123,6 +123,11 @@
         return context != null && context.channel().isActive();
     }
 
+    /** Returns whether no exchange runs. */
+    boolean idle() {
+        return listener == null;
+    }
+
     /** Records that the connection is idle from now on. */
     void idleSince(long now) {
         idleSince = now;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnections.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnections.java
@@ -167,7 +167,10 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
-                                .addLast(new HttpClientCodec(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_HEAD_BYTES), handler);
+                                .addLast(
+                                        new IdleConnectionGuard(handler),
+                                        new HttpClientCodec(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_HEAD_BYTES),
+                                        handler);
                     }
                 })
                 .connect(target.address().toSocketAddress());
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/TargetConnectionsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/TargetConnectionsTest.java
@@ -202,6 +202,29 @@
         assertThat(statusOfSecond(cut, failure), is(not("200")));
     }
 
+    /** Bytes that arrived on an idle connection waited in its decoder for the head of the next answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"H", "HTTP/1.1 200 O", "HTTP/1.1 500 No~X-Request-Id: r~Content-Length: 1~~y"})
+    void closesAnIdleConnectionOnWhichBytesArrive(String late)
+            throws InterruptedException, ExecutionException, TimeoutException, IOException {
+        EventLoop loop = group.next();
+        TargetConnections connections = TargetConnections.of(
+                loop, new Protocol(), TimeSource.ForSystem.INSTANCE, TargetObserver.Disabled.INSTANCE);
+        CompletableFuture<Integer> first = new CompletableFuture<>();
+        loop.execute(() -> {
+            connections.retainOnly(Set.of("t"));
+            connections.send(entry(), request("r"), new StatusListener(first));
+        });
+        try (Socket socket = target.accept()) {
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
+            awaitRequest(socket.getInputStream());
+            socket.getOutputStream().write(bytes("HTTP/1.1 200 OK~X-Request-Id: r~Content-Length: 1~~x"));
+            first.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            socket.getOutputStream().write(bytes(late));
+            assertThat(socket.getInputStream().read(), is(-1));
+        }
+    }
+
     /** A refusal that names no request, and may belong to an earlier one, said that the current one has not run. */
     @Test
     void takesNoRefusalWithoutANameOnAUsedConnection()
