--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/prompt/PromptCodec.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/prompt/PromptCodec.java
@@ -14,13 +14,12 @@
         return PromptParts.newBuilder()
                 .addAllShared(prompt.shared())
                 .setOwn(prompt.own())
+                .setContent(prompt.content())
                 .build();
     }
 
-    /** Reads the parts of a prompt; {@link Prompt#NONE} if the message names none. */
+    /** Reads the parts of a prompt. */
     public static Prompt fromMessage(PromptParts message) {
-        return message.getSharedCount() == 0 && message.getOwn().isEmpty()
-                ? Prompt.NONE
-                : new Prompt(List.copyOf(message.getSharedList()), message.getOwn());
+        return new Prompt(List.copyOf(message.getSharedList()), message.getOwn(), message.getContent());
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
@@ -210,24 +210,24 @@
       "RATE_LIMITED\020\002\022\016\n\nOVERLOADED\020\003\022\r\n\tNO_TAR" +
       "GET\020\004\022\n\n\006RESYNC\020\005\022\017\n\013QUARANTINED\020\006\"\037\n\014Pe" +
       "rmitRecall\022\017\n\007permits\030\001 \003(\004\")\n\nItemHeade" +
-      "r\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"*\n\013Prompt" +
-      "Parts\022\016\n\006shared\030\001 \003(\t\022\013\n\003own\030\002 \001(\t\"\245\001\n\007J" +
-      "obItem\022\n\n\002id\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\0220\n\007head" +
-      "ers\030\003 \003(\0132\037.tanagermoor.gateway.ItemHead" +
-      "er\022\014\n\004body\030\004 \001(\014\022\016\n\006tokens\030\005 \001(\004\0220\n\006prom" +
-      "pt\030\006 \001(\0132 .tanagermoor.gateway.PromptPar" +
-      "ts\"9\n\nJobContent\022+\n\005items\030\001 \003(\0132\034.tanage" +
-      "rmoor.gateway.JobItem\"\256\001\n\006JobRow\022\n\n\002id\030\001" +
-      " \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004path" +
-      "\030\004 \001(\t\022\027\n\017accepted_millis\030\005 \001(\004\022\r\n\005total" +
-      "\030\006 \001(\r\022\020\n\010recorded\030\007 \001(\r\022\r\n\005ended\030\010 \001(\010\022" +
-      "\026\n\016tokens_waiting\030\t \001(\004\022\r\n\005owner\030\n \001(\t\"L" +
-      "\n\nResultPart\022\014\n\004item\030\001 \001(\t\022\021\n\tcompleted\030" +
-      "\002 \001(\010\022\016\n\006output\030\003 \001(\014\022\r\n\005parts\030\004 \001(\r\"R\n\014" +
-      "ItemProgress\022\014\n\004item\030\001 \001(\t\022\022\n\nlast_event" +
-      "\030\002 \001(\004\022\016\n\006output\030\003 \001(\014\022\020\n\010failures\030\004 \001(\r" +
-      "B!\n\035org.tanagermoor.gateway.protoP\001b\006pro" +
-      "to3"
+      "r\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\";\n\013Prompt" +
+      "Parts\022\016\n\006shared\030\001 \003(\t\022\013\n\003own\030\002 \001(\t\022\017\n\007co" +
+      "ntent\030\003 \001(\t\"\245\001\n\007JobItem\022\n\n\002id\030\001 \001(\t\022\014\n\004p" +
+      "ath\030\002 \001(\t\0220\n\007headers\030\003 \003(\0132\037.tanagermoor" +
+      ".gateway.ItemHeader\022\014\n\004body\030\004 \001(\014\022\016\n\006tok" +
+      "ens\030\005 \001(\004\0220\n\006prompt\030\006 \001(\0132 .tanagermoor." +
+      "gateway.PromptParts\"9\n\nJobContent\022+\n\005ite" +
+      "ms\030\001 \003(\0132\034.tanagermoor.gateway.JobItem\"\256" +
+      "\001\n\006JobRow\022\n\n\002id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004h" +
+      "ost\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022\027\n\017accepted_mill" +
+      "is\030\005 \001(\004\022\r\n\005total\030\006 \001(\r\022\020\n\010recorded\030\007 \001(" +
+      "\r\022\r\n\005ended\030\010 \001(\010\022\026\n\016tokens_waiting\030\t \001(\004" +
+      "\022\r\n\005owner\030\n \001(\t\"L\n\nResultPart\022\014\n\004item\030\001 " +
+      "\001(\t\022\021\n\tcompleted\030\002 \001(\010\022\016\n\006output\030\003 \001(\014\022\r" +
+      "\n\005parts\030\004 \001(\r\"R\n\014ItemProgress\022\014\n\004item\030\001 " +
+      "\001(\t\022\022\n\nlast_event\030\002 \001(\004\022\016\n\006output\030\003 \001(\014\022" +
+      "\020\n\010failures\030\004 \001(\rB!\n\035org.tanagermoor.gat" +
+      "eway.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -340,7 +340,7 @@
     internal_static_tanagermoor_gateway_PromptParts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PromptParts_descriptor,
-        new java.lang.String[] { "Shared", "Own", });
+        new java.lang.String[] { "Shared", "Own", "Content", });
     internal_static_tanagermoor_gateway_JobItem_descriptor =
       getDescriptor().getMessageType(18);
     internal_static_tanagermoor_gateway_JobItem_fieldAccessorTable = new
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PromptParts.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PromptParts.java
@@ -35,6 +35,7 @@
     shared_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     own_ = "";
+    content_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -155,6 +156,53 @@
     }
   }
 
+  public static final int CONTENT_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object content_ = "";
+  /**
+   * <pre>
+   * The fingerprint of all that a target reads of the request; empty if it is unknown.
+   * </pre>
+   *
+   * <code>string content = 3;</code>
+   * @return The content.
+   */
+  @java.lang.Override
+  public java.lang.String getContent() {
+    java.lang.Object ref = content_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      content_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The fingerprint of all that a target reads of the request; empty if it is unknown.
+   * </pre>
+   *
+   * <code>string content = 3;</code>
+   * @return The bytes for content.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getContentBytes() {
+    java.lang.Object ref = content_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      content_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -175,6 +223,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(own_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, own_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(content_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, content_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -190,6 +241,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(own_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, own_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(content_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, content_);
+    }
     return size;
   }
   @java.lang.Override
@@ -218,6 +272,8 @@
         .equals(other.getSharedList())) return false;
     if (!getOwn()
         .equals(other.getOwn())) return false;
+    if (!getContent()
+        .equals(other.getContent())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -235,6 +291,8 @@
     }
     hash = (37 * hash) + OWN_FIELD_NUMBER;
     hash = (53 * hash) + getOwn().hashCode();
+    hash = (37 * hash) + CONTENT_FIELD_NUMBER;
+    hash = (53 * hash) + getContent().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -373,6 +431,7 @@
       shared_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       own_ = "";
+      content_ = "";
       return this;
     }
 
@@ -413,6 +472,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.own_ = own_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.content_ = content_;
+      }
     }
 
     @java.lang.Override
@@ -442,6 +504,11 @@
         bitField0_ |= 0x00000002;
         onChanged();
       }
+      if (!other.getContent().isEmpty()) {
+        content_ = other.content_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -476,6 +543,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 26: {
+              content_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -732,6 +804,98 @@
       return this;
     }
 
+    private java.lang.Object content_ = "";
+    /**
+     * <pre>
+     * The fingerprint of all that a target reads of the request; empty if it is unknown.
+     * </pre>
+     *
+     * <code>string content = 3;</code>
+     * @return The content.
+     */
+    public java.lang.String getContent() {
+      java.lang.Object ref = content_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        content_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The fingerprint of all that a target reads of the request; empty if it is unknown.
+     * </pre>
+     *
+     * <code>string content = 3;</code>
+     * @return The bytes for content.
+     */
+    public com.google.protobuf.ByteString
+        getContentBytes() {
+      java.lang.Object ref = content_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        content_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The fingerprint of all that a target reads of the request; empty if it is unknown.
+     * </pre>
+     *
+     * <code>string content = 3;</code>
+     * @param value The content to set.
+     * @return This builder for chaining.
+     */
+    public Builder setContent(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      content_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The fingerprint of all that a target reads of the request; empty if it is unknown.
+     * </pre>
+     *
+     * <code>string content = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearContent() {
+      content_ = getDefaultInstance().getContent();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The fingerprint of all that a target reads of the request; empty if it is unknown.
+     * </pre>
+     *
+     * <code>string content = 3;</code>
+     * @param value The bytes for content to set.
+     * @return This builder for chaining.
+     */
+    public Builder setContentBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      content_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.PromptParts)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PromptPartsOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PromptPartsOrBuilder.java
@@ -70,4 +70,24 @@
    */
   com.google.protobuf.ByteString
       getOwnBytes();
+
+  /**
+   * <pre>
+   * The fingerprint of all that a target reads of the request; empty if it is unknown.
+   * </pre>
+   *
+   * <code>string content = 3;</code>
+   * @return The content.
+   */
+  java.lang.String getContent();
+  /**
+   * <pre>
+   * The fingerprint of all that a target reads of the request; empty if it is unknown.
+   * </pre>
+   *
+   * <code>string content = 3;</code>
+   * @return The bytes for content.
+   */
+  com.google.protobuf.ByteString
+      getContentBytes();
 }
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/prompt/Prompt.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/prompt/Prompt.java
@@ -4,12 +4,14 @@
 import java.util.List;
 
 /**
- * The parts of a prompt, each named by its identity.
+ * The parts of a prompt, each named by its identity, and the content of the request that has it.
  *
  * @param shared The parts that other requests may also have, in their order.
  * @param own The last part, which belongs to the request or its session; empty if there is none.
+ * @param content The fingerprint of all that a target reads of the request, which is the same whenever the request is
+ *     sent again; empty if it is unknown. It contains a colon, which the identity of a part does not.
  */
-public record Prompt(List<String> shared, String own) {
+public record Prompt(List<String> shared, String own, String content) {
 
     /** The prompt of a request that does not name any parts. */
     public static final Prompt NONE = new Prompt(List.of(), "");
@@ -20,6 +22,11 @@
     /** The maximum number of characters of a part's identity. */
     private static final int MAX_PART_CHARS = 128;
 
+    /** Creates the prompt of a request whose content is unknown. */
+    public Prompt(List<String> shared, String own) {
+        this(shared, own, "");
+    }
+
     /**
      * Returns the prompt that is composed of the given parts.
      *
@@ -38,9 +45,14 @@
         return new Prompt(shared, fits(parts.get(last)) ? parts.get(last) : "");
     }
 
+    /** Returns this prompt with the fingerprint of its request. */
+    public Prompt withContent(String value) {
+        return new Prompt(shared, own, value);
+    }
+
     /** Returns this prompt without the given shared parts. */
     public Prompt withoutShared(Collection<String> parts) {
-        return new Prompt(shared.stream().filter(part -> !parts.contains(part)).toList(), own);
+        return new Prompt(shared.stream().filter(part -> !parts.contains(part)).toList(), own, content);
     }
 
     private static boolean fits(String part) {
