Hold back a request that crashes target after target

What callers saw: a request that crashes each target that begins to answer it was sent to target after target, whenever and to whichever instance its caller sent it again.

Cause: crashes were attributed to parts of prompts that different requests share, and to nothing else. The attempts of one request, each with a new identity, have one last part and one content; CrashEvidence asked for two different requests and accused nobody.

Ruled out: evidence that was lost with a dispatcher (it sufficed after the third crash), and parts acquitted by sound requests with the same parts (they were, but a part of one request alone was not accused either).

Change: a request has marks: the shared parts of its prompt, its last part, and a fingerprint of its content. All are suspected, acquitted by answers, accused after three crashes that followed one another, held back, tried and aged alike. A last part is accused by requests of different content, a content by itself. Of many suspects, the one whose last crash is the oldest is dropped, no longer the one that was suspected first.

Evidence: PartGuardTest.placesARequestThatCrashesTargetsThreeTimes placed ten requests of ten before, three now.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
@@ -99,17 +99,17 @@
     /** All data of a job was deleted at the end of its retention period. */
     JOB_DELETED(2231, Level.INFO, "a job past its retention was deleted"),
 
-    /** The evidence says that the crashes are due to one part; requests with it are refused from now on. */
-    PART_QUARANTINED(2232, Level.WARNING, "a part of prompts is held back because it crashes targets"),
+    /** The evidence says that the crashes are due to one part or request; requests with it are refused from now on. */
+    PART_QUARANTINED(2232, Level.WARNING, "a part of prompts, or a request, is held back because it crashes targets"),
 
     /** One request with a part that is held back was let through, to find out whether targets bear it again. */
-    PART_TRIED(2233, Level.INFO, "a request with a part that is held back was let through as a trial"),
+    PART_TRIED(2233, Level.INFO, "a request that is held back was let through as a trial"),
 
     /** A request with the part was answered, or an operator released the part. */
-    PART_RELEASED(2234, Level.INFO, "a part of prompts is no longer held back"),
+    PART_RELEASED(2234, Level.INFO, "a part of prompts, or a request, is no longer held back"),
 
     /** Nothing was heard of a part for so long that its record has been dropped. */
-    PART_FORGOTTEN(2235, Level.INFO, "the record of a part of prompts was dropped for its age"),
+    PART_FORGOTTEN(2235, Level.INFO, "the record of a part of prompts, or of a request, was dropped for its age"),
 
     /** The item runs when the part is released, unless the time for its job is over before. */
     ITEM_HELD_BACK(2236, Level.INFO, "an item waits because a part of its prompt is held back");
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/CrashReports.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/CrashReports.java
@@ -36,11 +36,12 @@
         }
     }
 
-    /** Acquits the shared parts of an answered request. */
-    void answered(List<String> parts) {
+    /** Acquits the marks of an answered request. */
+    void answered(List<String> marks) {
         if (!entries.isEmpty()) {
-            entries.replaceAll(entry -> entry.without(parts));
-            entries.removeIf(entry -> entry.crash.prompt().shared().isEmpty());
+            entries.replaceAll(entry -> entry.without(marks));
+            entries.removeIf(entry -> entry.crash.prompt().shared().isEmpty()
+                    && entry.crash.prompt().content().isEmpty());
         }
     }
 
@@ -60,8 +61,8 @@
     /** A run that broke off, with the number of its permit. */
     private record Entry(long permit, Crash crash) {
 
-        private Entry without(List<String> parts) {
-            Prompt prompt = crash.prompt().withoutShared(parts);
+        private Entry without(List<String> marks) {
+            Prompt prompt = crash.prompt().withoutMarks(marks);
             return new Entry(
                     permit,
                     new Crash(crash.run(), crash.holder(), crash.target(), prompt, crash.sentAt(), crash.brokeAt()));
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
@@ -224,11 +224,11 @@
         }
     }
 
-    /** Remembers what the end of a run says about the parts of its prompt. */
+    /** Remembers what the end of a run says about its prompt. */
     private void remember(Placement placement, PlaceOutcome outcome) {
         Ask ask = placement.ask;
         if (outcome == PlaceOutcome.SERVED) {
-            crashReports.answered(ask.prompt().shared());
+            crashReports.answered(ask.prompt().marks());
         } else if (outcome == PlaceOutcome.CRASHED) {
             crashReports.add(
                     ask.permit(),
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
@@ -11,8 +11,8 @@
 import org.tanagermoor.policy.quarantine.QuarantineEntry;
 
 /**
- * Keeps requests with a part that crashes targets away from them. Learns the part from the ends of the runs of all
- * instances, which the dispatcher sees. Not thread-safe.
+ * Keeps requests with a part that crashes targets away from them, and a request that does so itself whenever it is sent
+ * again. Learns which they are from the ends of the runs of all instances, which the dispatcher sees. Not thread-safe.
  */
 final class PartGuard {
 
@@ -54,9 +54,9 @@
     /** Records how the use of a place ended. */
     void ended(Grant grant, PlaceOutcome outcome, long now) {
         if (outcome == PlaceOutcome.SERVED) {
-            List<String> parts = grant.prompt.shared();
-            evidence.answered(grant.holder, grant.target, parts, now);
-            quarantine.answered(parts, grant.sentAt, now).forEach(onChange);
+            List<String> marks = grant.prompt.marks();
+            evidence.answered(grant.holder, grant.target, marks, now);
+            quarantine.answered(marks, grant.sentAt, now).forEach(onChange);
             accuse(now);
         } else if (outcome == PlaceOutcome.CRASHED) {
             String run = DispatchCodec.run(grant.holder, grant.permit);
@@ -70,14 +70,14 @@
         accuse(now);
     }
 
-    /** Holds back the parts that the evidence accuses. */
+    /** Holds back the marks that the evidence accuses. */
     private void accuse(long now) {
         for (Optional<CrashEvidence.Accusation> accusation = evidence.accusation(now);
                 accusation.isPresent();
                 accusation = evidence.accusation(now)) {
             evidence.explain(accusation.get());
             onChange.accept(
-                    quarantine.hold(accusation.get().part(), accusation.get().evidence(), now));
+                    quarantine.hold(accusation.get().mark(), accusation.get().evidence(), now));
         }
     }
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/PartGuardTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/PartGuardTest.java
@@ -95,6 +95,30 @@
         assertThat(quarantined, hasSize(1));
     }
 
+    /** A request that crashed its target was placed again, at any instance, whenever its caller sent it again. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void placesARequestThatCrashesTargetsThreeTimes(boolean partsAnswered) {
+        int placed = 0;
+        for (long permit = FIRST_DEADLY; permit < FIRST_DEADLY + 10; permit++) {
+            Ask ask = ask(permit % 2 == 0 ? "x" : "y", permit, false, 5_000, "", Set.of())
+                    .withPrompt(new Prompt(List.of("first", "second"), "own", "request:repeated"));
+            if (granted(dispatcher.ask(ask, now))) {
+                placed++;
+                advance(100);
+                dispatcher.release(ask.holder(), permit, PlaceOutcome.CRASHED, now);
+            }
+            advance(100);
+            answers(3);
+            if (partsAnswered) {
+                answer(new Prompt(List.of("first", "second"), "own-" + permit, "request:" + permit));
+            }
+            advance(2_000);
+        }
+        assertThat(placed, is(3));
+        answer(new Prompt(List.of("first", "second"), "other", "request:other"));
+    }
+
     /** Lets requests with the part crash their targets, one after the other, at two instances in turn. */
     private void crash(int count) {
         for (int run = 0; run < count; run++) {
@@ -115,11 +139,20 @@
         }
     }
 
+    /** Lets a request with the given prompt be answered. */
+    private void answer(Prompt prompt) {
+        dispatcher.release("x", place(prompt), PlaceOutcome.SERVED, now);
+    }
+
     /** Occupies a place with a sound request, and returns the number of its permit. */
     private long sound() {
+        return place(new Prompt(List.of("first"), "own-" + (permits + 1)));
+    }
+
+    /** Occupies a place with a request that has the given prompt, and returns the number of its permit. */
+    private long place(Prompt prompt) {
         long permit = ++permits;
-        Ask ask = online(permit).withPrompt(new Prompt(List.of("first"), "own-" + permit));
-        assertThat(granted(dispatcher.ask(ask, now)), is(true));
+        assertThat(granted(dispatcher.ask(online(permit).withPrompt(prompt), now)), is(true));
         return permit;
     }
 
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/CrashEvidence.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/CrashEvidence.java
@@ -15,34 +15,36 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
+import org.tanagermoor.policy.prompt.Prompt;
 
 /**
- * Finds the part of a prompt that crashes each target that begins to answer it. Designed for few such requests among
- * many sound ones that share all their other parts and are broken off by the same crashes.
+ * Finds the mark of requests that crash each target that begins to answer them: a part of their prompt, or the content
+ * of one request that is sent again and again. Designed for few such requests among many sound ones that share all
+ * their other marks and are broken off by the same crashes.
  *
- * <p>An answered request acquits its parts. A part is accused by crashes that followed one another: the next request
+ * <p>An answered request acquits its marks. A mark is accused by crashes that followed one another: the next request
  * was sent when the crash before it was known. Many targets that are lost at once thus count as one crash. Crashes are
- * explained by a single part, the one that the fewest requests hold. Not thread-safe.
+ * explained by a single mark, the one that the fewest requests hold. Not thread-safe.
  */
 public final class CrashEvidence {
 
-    /** The number of crashes that accuse a part. Fewer than the fleet may suffer, since some evidence may be lost. */
+    /** The number of crashes that accuse a mark. Fewer than the fleet may suffer, since some evidence may be lost. */
     static final int MIN_CRASHES = 3;
 
-    /** The number of different requests among them, as a single request may itself be the cause. */
+    /** The number of different requests among those that accuse a part: a single one is itself the cause. */
     static final int MIN_REQUESTS = 2;
 
     /**
-     * The number of answers to requests without the part since its first crash: without any, targets fail for a reason
-     * that has nothing to do with the part. If only one instance reports the crashes, the answers must be its own, as
+     * The number of answers to requests without the mark since its first crash: without any, targets fail for a reason
+     * that has nothing to do with the mark. If only one instance reports the crashes, the answers must be its own, as
      * its link may be bad; all items of a job run at one instance.
      */
     static final int MIN_OTHER_ANSWERS = 3;
 
-    /** The maximum number of suspected parts; the one that was suspected first is dropped. */
-    static final int MAX_SUSPECTS = 256;
+    /** The maximum number of suspected marks; the one of the least recent crash is dropped. */
+    static final int MAX_SUSPECTS = 1_024;
 
-    /** The maximum number of crashes that are kept for a part. */
+    /** The maximum number of crashes that are kept for a mark. */
     private static final int MAX_CRASHES = 8;
 
     /** The maximum number of runs and targets that are remembered to recognize repeated reports. */
@@ -63,13 +65,13 @@
     /** The time before which a crashed target cannot have answered again, in nanoseconds. */
     private static final long RESTART_NANOS = Duration.ofMillis(1_500).toNanos();
 
-    /** The suspected parts in the order in which they were first suspected. */
+    /** The suspected marks in the order of their last crashes. */
     private final Map<String, Suspect> suspects = bounded(MAX_SUSPECTS);
 
     /** The time in nanoseconds at which each target last crashed, by identity. */
     private final Map<String, Long> crashedAt = bounded(MAX_REMEMBERED);
 
-    /** The time in nanoseconds of the last crash of a target that a quarantined part explains, by identity. */
+    /** The time in nanoseconds of the last crash of a target that a quarantined mark explains, by identity. */
     private final Map<String, Long> explainedAt = bounded(MAX_REMEMBERED);
 
     /** The identities of the runs that have been reported. */
@@ -93,13 +95,14 @@
      * ignored.
      *
      * @param crash The run.
-     * @param quarantined Tells which parts are already known to crash targets.
+     * @param quarantined Tells which marks are already known to crash targets.
      */
     public void crashed(Crash crash, Predicate<String> quarantined) {
         if (!runs.add(crash.run())) {
             return;
         }
-        if (crash.prompt().shared().stream().anyMatch(quarantined)) {
+        List<String> marks = crash.prompt().marks();
+        if (marks.stream().anyMatch(quarantined)) {
             explain(crash.target(), crash.brokeAt());
             return;
         }
@@ -107,28 +110,35 @@
             return;
         }
         crashedAt.put(crash.target(), crash.brokeAt());
-        List<String> parts = crash.prompt().shared();
-        for (int position = 0; position < parts.size(); position++) {
-            suspects.computeIfAbsent(parts.get(position), part -> new Suspect())
-                    .add(new Observation(crash, answers, answersOf(crash.holder())), position);
+        Observation observation = new Observation(crash, answers, answersOf(crash.holder()));
+        for (int position = 0; position < marks.size(); position++) {
+            Suspect known = suspects.remove(marks.get(position));
+            Suspect suspect = known == null ? new Suspect(different(crash.prompt(), marks.get(position))) : known;
+            suspect.add(observation, position);
+            suspects.put(marks.get(position), suspect);
         }
     }
 
+    /** Returns what differs between different requests that have the given mark of a prompt. */
+    private static Function<Prompt, String> different(Prompt prompt, String mark) {
+        return prompt.shared().contains(mark) ? Prompt::own : Prompt::content;
+    }
+
     /**
-     * Records an answered request, which acquits its parts and shows that its target runs.
+     * Records an answered request, which acquits its marks and shows that its target runs.
      *
      * @param holder The instance that sent the request.
      * @param target The identity of the target.
-     * @param parts The shared parts of the prompt.
+     * @param marks The marks of the prompt.
      * @param now The current monotonic time in nanoseconds.
      */
-    public void answered(String holder, String target, List<String> parts, long now) {
+    public void answered(String holder, String target, List<String> marks, long now) {
         answers++;
         answersByHolder.merge(holder, 1L, Long::sum);
         if (suspects.isEmpty()) {
             return;
         }
-        suspects.keySet().removeAll(new HashSet<>(parts));
+        suspects.keySet().removeAll(new HashSet<>(marks));
         Long last = crashedAt.get(target);
         if (last != null && now - last >= LATE_REPORT_NANOS && now - last < RESTART_NANOS) {
             crashedAt.remove(target);
@@ -137,14 +147,14 @@
     }
 
     /**
-     * Returns the part that explains the crashes, if the evidence suffices.
+     * Returns the mark that explains the crashes, if the evidence suffices.
      *
      * @param now The current monotonic time in nanoseconds.
-     * @return The part with its evidence.
+     * @return The mark with its evidence.
      */
     public Optional<Accusation> accusation(long now) {
         return suspects.entrySet().stream()
-                .filter(entry -> entry.getValue().crashedOften(now))
+                .filter(entry -> entry.getValue().crashedOften(minRequests(entry.getKey()), now))
                 .filter(entry -> otherAnswers(entry.getValue()) >= MIN_OTHER_ANSWERS)
                 .min(Comparator.<Map.Entry<String, Suspect>>comparingInt(entry -> entry.getValue().runs)
                         .thenComparing(entry -> -entry.getValue().position))
@@ -152,7 +162,11 @@
                         new Accusation(entry.getKey(), entry.getValue().crashes(), otherAnswers(entry.getValue())));
     }
 
-    /** Returns the number of answers that show that targets, and the link of a single holder, work without the part. */
+    private static int minRequests(String mark) {
+        return mark.startsWith(Prompt.CONTENT_PREFIX) ? 1 : MIN_REQUESTS;
+    }
+
+    /** Returns the number of answers that show that targets, and the link of a single holder, work without the mark. */
     private long otherAnswers(Suspect suspect) {
         Observation first = suspect.observations.get(0);
         return distinct(suspect.crashes(), Crash::holder).size() == 1
@@ -164,13 +178,13 @@
         return answersByHolder.getOrDefault(holder, 0L);
     }
 
-    /** Drops the suspicion of other parts for crashes that an accused part explains. */
+    /** Drops the suspicion of other marks for crashes that an accused mark explains. */
     public void explain(Accusation accusation) {
-        suspects.remove(accusation.part());
+        suspects.remove(accusation.mark());
         accusation.crashes().forEach(crash -> explain(crash.target(), crash.brokeAt()));
     }
 
-    /** Records that a crash of a target is explained by a part that is known. */
+    /** Records that a crash of a target is explained by a mark that is known. */
     private void explain(String target, long brokeAt) {
         explainedAt.put(target, brokeAt);
         withdraw(target, brokeAt);
@@ -208,13 +222,13 @@
     }
 
     /**
-     * A part with the evidence against it.
+     * A mark with the evidence against it.
      *
-     * @param part The identity of the part.
+     * @param mark The mark.
      * @param crashes The crashes that followed one another.
-     * @param otherAnswers The number of answers to requests without the part meanwhile.
+     * @param otherAnswers The number of answers to requests without the mark meanwhile.
      */
-    public record Accusation(String part, List<Crash> crashes, long otherAnswers) {
+    public record Accusation(String mark, List<Crash> crashes, long otherAnswers) {
 
         /** Describes the evidence for people. */
         public String evidence() {
@@ -234,7 +248,7 @@
     }
 
     /**
-     * A crash that accuses a part.
+     * A crash that accuses a mark.
      *
      * @param crash The run that broke off.
      * @param answersBefore The number of answered requests before it.
@@ -242,18 +256,25 @@
      */
     private record Observation(Crash crash, long answersBefore, long holderAnswersBefore) {}
 
-    /** A part that no answered request has held since its first crash. */
+    /** A mark that no answered request has held since its first crash. */
     private static final class Suspect {
 
+        /** What differs between different requests that have the mark. */
+        private final Function<Prompt, String> different;
+
         /** The crashes that followed one another, in their order. */
         private final List<Observation> observations = new ArrayList<>();
 
-        /** The number of broken runs with the part. */
+        /** The number of broken runs with the mark. */
         private int runs;
 
-        /** The last position at which a prompt has the part. */
+        /** The last position at which a prompt has the mark. */
         private int position;
 
+        Suspect(Function<Prompt, String> different) {
+            this.different = different;
+        }
+
         void add(Observation added, int at) {
             runs++;
             position = Math.max(position, at);
@@ -269,11 +290,13 @@
             return observations.stream().map(Observation::crash).toList();
         }
 
-        /** Returns whether enough crashes under different requests are recent enough to accuse the part. */
-        boolean crashedOften(long now) {
+        /** Returns whether enough crashes under different requests are recent enough to accuse the mark. */
+        boolean crashedOften(int minRequests, long now) {
             return observations.size() >= MIN_CRASHES
                     && now - observations.get(0).crash.brokeAt() <= RETENTION_NANOS
-                    && distinct(crashes(), crash -> crash.prompt().own()).size() >= MIN_REQUESTS;
+                    && distinct(crashes(), crash -> different.apply(crash.prompt()))
+                                    .size()
+                            >= minRequests;
         }
     }
 }
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/Quarantine.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/Quarantine.java
@@ -10,8 +10,9 @@
 import org.tanagermoor.policy.prompt.Prompt;
 
 /**
- * The parts of prompts that are held back because they crash targets. One request with such a part is let through from
- * time to time, ever more rarely; when it is answered, the part is released. Not thread-safe.
+ * The parts of prompts that are held back because they crash targets. The marks of a last part and of the content of a
+ * request are held back alike. One request with such a part is let through from time to time, ever more rarely; when it
+ * is answered, the part is released. Not thread-safe.
  */
 public final class Quarantine {
 
@@ -60,7 +61,7 @@
         if (entries.isEmpty()) {
             return new QuarantineDecision.Admitted();
         }
-        Optional<QuarantineEntry> last = prompt.shared().stream()
+        Optional<QuarantineEntry> last = prompt.marks().stream()
                 .filter(this::holds)
                 .map(entries::get)
                 .max(Comparator.comparingLong(entry -> entry.until() - now));
@@ -96,7 +97,7 @@
         if (entries.isEmpty()) {
             return List.of();
         }
-        return prompt.shared().stream()
+        return prompt.marks().stream()
                 .filter(this::holds)
                 .distinct()
                 .map(entries::get)
@@ -114,7 +115,7 @@
     /**
      * Releases the parts of an answered request, unless it was sent before the last decision on them.
      *
-     * @param parts The shared parts of its prompt.
+     * @param parts The marks of its prompt.
      * @param sentAt The monotonic time at which the request was sent, in nanoseconds.
      * @param now The current monotonic time in nanoseconds.
      * @return The new records of the released parts.
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/QuarantineDecision.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/QuarantineDecision.java
@@ -1,5 +1,7 @@
 package org.tanagermoor.policy.quarantine;
 
+import org.tanagermoor.policy.prompt.Prompt;
+
 /** The decision on a request by the parts that its prompt has. */
 public sealed interface QuarantineDecision {
 
@@ -21,9 +23,11 @@
      */
     record Refused(QuarantineEntry entry, long remainingNanos) implements QuarantineDecision {
 
-        /** Describes the part and the evidence against it for people. */
+        /** Describes the part, or the content of the request, and the evidence against it for people. */
         public String detail() {
-            return "part " + entry.part() + " of the prompt: " + entry.evidence();
+            String mark = entry.part();
+            return (mark.startsWith(Prompt.CONTENT_PREFIX) ? mark : "part " + mark + " of the prompt") + ": "
+                    + entry.evidence();
         }
     }
 }
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/QuarantineEntry.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/QuarantineEntry.java
@@ -5,7 +5,7 @@
 /**
  * What is known of a part that was found to crash targets.
  *
- * @param part The identity of the part.
+ * @param part The identity of the part, or another mark of a prompt.
  * @param revision The number of decisions on the part so far; the record with the higher one is valid.
  * @param held Whether requests with the part are refused; if not, it was released.
  * @param trials The number of requests that were let through since, to find out whether targets bear the part again.
--- a/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/CrashEvidenceTest.java
+++ b/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/CrashEvidenceTest.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -47,12 +48,65 @@
             advance(400);
             accusation = evidence.accusation(now);
         }
-        assertThat(accusation.map(CrashEvidence.Accusation::part), is(Optional.of("deadly")));
+        assertThat(accusation.map(CrashEvidence.Accusation::mark), is(Optional.of("deadly")));
         assertThat(crashes, is(lessThanOrEqualTo(5)));
         evidence.explain(accusation.orElseThrow());
         assertThat(evidence.accusation(now), is(Optional.empty()));
     }
 
+    /** One request that came again and again was never accused, as a part needed two different requests. */
+    @ParameterizedTest
+    @CsvSource({"1, false, request:1", "1, true, request:1", "5, false, last:own", "5, true, "})
+    void accusesARequestThatIsSentAgain(int contents, boolean ownAnswered, String accused) {
+        for (int crash = 0; crash < 4 && evidence.accusation(now).isEmpty(); crash++) {
+            answered("other", "first", "second");
+            if (ownAnswered) {
+                answered("other", "first", "last:own");
+            }
+            long sentAt = now;
+            advance(100);
+            String content = "request:" + (1 + crash % contents);
+            crashed("t-" + crash, sentAt, new Prompt(List.of("first", "second"), "own", content));
+            advance(400);
+            for (int answer = 0; answer < 3; answer++) {
+                answered("other", "first");
+            }
+        }
+        assertThat(evidence.accusation(now).map(CrashEvidence.Accusation::mark), is(Optional.ofNullable(accused)));
+    }
+
+    /** A failure domain that is lost at once, or a link that closes connections, does not accuse a request. */
+    @ParameterizedTest
+    @CsvSource({"0, false, false", "500, true, false", "500, false, true"})
+    void accusesARequestOnlyOfCrashesThatFollowOneAnother(long gapMillis, boolean targetsAnswer, boolean accused) {
+        for (int crash = 0; crash < 6; crash++) {
+            long sentAt = now;
+            advance(gapMillis);
+            crashed("t-" + crash, sentAt, new Prompt(List.of("first"), "own", "request:sound"));
+            advance(gapMillis);
+            answered(targetsAnswer ? "t-" + crash : "other", "first");
+        }
+        assertThat(evidence.accusation(now).isPresent(), is(accused));
+    }
+
+    /** A request that crashes targets was forgotten in favour of the many sound ones that the crashes break off. */
+    @Test
+    void keepsTheRequestAmongManySoundOnes() {
+        for (int crash = 0; crash < CrashEvidence.MIN_CRASHES; crash++) {
+            long sentAt = now;
+            advance(100);
+            crashed("t-" + crash, sentAt, new Prompt(List.of("first"), "own", "request:deadly"));
+            for (int sound = 0; sound < CrashEvidence.MAX_SUSPECTS / 4; sound++) {
+                crashed("t-" + crash, sentAt, new Prompt(List.of("first"), "own-" + runs, "request:" + runs));
+            }
+            advance(400);
+            for (int answer = 0; answer < 3; answer++) {
+                answered("other", "first");
+            }
+        }
+        assertThat(evidence.accusation(now).map(CrashEvidence.Accusation::mark), is(Optional.of("request:deadly")));
+    }
+
     /**
      * What is missing for an accusation: crashes that followed one another, requests, other answers, or answers to the
      * only instance that reports crashes.
