Count a request's targets wherever in its answer they break off

An answer that cannot be resumed and breaks off after its first event now has an outcome of its own, BROKEN_OFF, which blames the content of the request and nothing else: sound requests that the same crash breaks off have other contents. An answer that can be resumed has made progress and is no evidence, as before.

The case BROKEN_OFF of PartGuardTest.placesARequestThatCrashesTargetsThreeTimes needs the new outcome.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/CrashReports.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/CrashReports.java
@@ -8,13 +8,13 @@
 import org.tanagermoor.policy.quarantine.Crash;
 
 /**
- * The recent runs of this instance that broke off when their targets had just begun to answer. They are reported to
+ * The recent runs of this instance that broke off. They are reported to
  * each new dispatcher, so that what the one before it had learnt does not end with it. Not thread-safe.
  */
 final class CrashReports {
 
     /** The maximum number of runs; the oldest is dropped. */
-    private static final int MAX_RUNS = 32;
+    private static final int MAX_RUNS = 64;
 
     /** The age at which a run is dropped, in nanoseconds. */
     private static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
@@ -229,17 +229,17 @@
         Ask ask = placement.ask;
         if (outcome == PlaceOutcome.SERVED) {
             crashReports.answered(ask.prompt().marks());
-        } else if (outcome == PlaceOutcome.CRASHED) {
-            crashReports.add(
-                    ask.permit(),
-                    new Crash(
-                            DispatchCodec.run(self, ask.permit()),
-                            self,
-                            placement.target,
-                            ask.prompt(),
-                            placement.grantedAt,
-                            time.nanos()));
         }
+        outcome.suspected(ask.prompt())
+                .ifPresent(prompt -> crashReports.add(
+                        ask.permit(),
+                        new Crash(
+                                DispatchCodec.run(self, ask.permit()),
+                                self,
+                                placement.target,
+                                prompt,
+                                placement.grantedAt,
+                                time.nanos())));
     }
 
     /**
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchCodec.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchCodec.java
@@ -99,6 +99,7 @@
             case FULL -> PermitReturn.Outcome.FULL;
             case FAILED -> PermitReturn.Outcome.FAILED;
             case CRASHED -> PermitReturn.Outcome.CRASHED;
+            case BROKEN_OFF -> PermitReturn.Outcome.BROKEN_OFF;
             case ABANDONED -> PermitReturn.Outcome.ABANDONED;
         };
     }
@@ -111,6 +112,7 @@
             case FULL -> PlaceOutcome.FULL;
             case FAILED -> PlaceOutcome.FAILED;
             case CRASHED -> PlaceOutcome.CRASHED;
+            case BROKEN_OFF -> PlaceOutcome.BROKEN_OFF;
             case ABANDONED -> PlaceOutcome.ABANDONED;
             default -> PlaceOutcome.UNUSED;
         };
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
@@ -58,13 +58,14 @@
             evidence.answered(grant.holder, grant.target, marks, now);
             quarantine.answered(marks, grant.sentAt, now).forEach(onChange);
             accuse(now);
-        } else if (outcome == PlaceOutcome.CRASHED) {
-            String run = DispatchCodec.run(grant.holder, grant.permit);
-            crashed(new Crash(run, grant.holder, grant.target, grant.prompt, grant.sentAt, now), now);
         }
+        String run = DispatchCodec.run(grant.holder, grant.permit);
+        outcome.suspected(grant.prompt)
+                .ifPresent(
+                        prompt -> crashed(new Crash(run, grant.holder, grant.target, prompt, grant.sentAt, now), now));
     }
 
-    /** Records a run that broke off when its target had just begun to answer it. */
+    /** Records a run that broke off. */
     void crashed(Crash crash, long now) {
         evidence.crashed(crash, quarantine::holds);
         accuse(now);
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PlaceOutcome.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PlaceOutcome.java
@@ -1,5 +1,8 @@
 package org.tanagermoor.gateway.dispatch;
 
+import java.util.Optional;
+import org.tanagermoor.policy.prompt.Prompt;
+
 /** How the use of a place ended. */
 public enum PlaceOutcome {
 
@@ -21,6 +24,9 @@
     /** The connection ended when the target had just begun to answer, as if the target had crashed. */
     CRASHED,
 
+    /** The connection ended later in an answer that cannot be resumed. */
+    BROKEN_OFF,
+
     /** This side ended the exchange before its answer was complete, for no fault of the target. */
     ABANDONED;
 
@@ -34,9 +40,28 @@
      * Returns the outcome of a run whose connection ended before its answer was complete.
      *
      * @param events The number of events that the target sent in this run.
+     * @param resumable Whether another run can go on after these events, and thus has made progress.
+     */
+    public static PlaceOutcome ofEarlyEnd(long events, boolean resumable) {
+        if (events <= MAX_CRASH_EVENTS) {
+            return CRASHED;
+        }
+        return resumable ? FAILED : BROKEN_OFF;
+    }
+
+    /**
+     * Returns what may have caused this outcome: the whole prompt of a run whose target had just begun to answer, or
+     * only the content of its request if the target had answered for some time.
+     *
+     * @param prompt The prompt of the run.
+     * @return The prompt with the marks that may be the cause; empty if there are none.
      */
-    public static PlaceOutcome ofEarlyEnd(long events) {
-        return events <= MAX_CRASH_EVENTS ? CRASHED : FAILED;
+    Optional<Prompt> suspected(Prompt prompt) {
+        return switch (this) {
+            case CRASHED -> Optional.of(prompt);
+            case BROKEN_OFF -> Optional.of(prompt.contentOnly());
+            case UNUSED, SERVED, UNREACHABLE, FULL, FAILED, ABANDONED -> Optional.empty();
+        };
     }
 
     /** Returns whether the target treated the request as it should. */
@@ -46,6 +71,6 @@
 
     /** Returns whether the target failed the request after it may have started to run it. */
     boolean failure() {
-        return this == FAILED || this == CRASHED;
+        return this == FAILED || this == CRASHED || this == BROKEN_OFF;
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
@@ -181,7 +181,7 @@
             case SERVED, ABANDONED -> failures = 0;
             case FULL -> avoidUntil = Math.max(avoidUntil, now + FULL_AVOID_NANOS);
             case UNREACHABLE -> avoid(now);
-            case FAILED, CRASHED -> {
+            case FAILED, CRASHED, BROKEN_OFF -> {
                 if (failures + 1 >= BROKEN_THRESHOLD) {
                     avoid(now);
                 } else {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -426,7 +426,7 @@
 
     /** Returns the outcome of a run whose connection has ended too early. */
     private PlaceOutcome endedOutcome() {
-        return PlaceOutcome.ofEarlyEnd(lastEvent - startEvent);
+        return PlaceOutcome.ofEarlyEnd(lastEvent - startEvent, route.resumable());
     }
 
     /** Returns whether the route, its attempts and the deadline allow another run. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -402,7 +402,7 @@
         if (lastEvent == 0 || frames.insideEvent()) {
             recordFailedRun("the answer ended inside an event");
             excluded.add(targetId());
-            retry(PlaceOutcome.ofEarlyEnd(lastEvent - startEvent), RETRY_DELAY_MILLIS);
+            retry(PlaceOutcome.ofEarlyEnd(lastEvent - startEvent, true), RETRY_DELAY_MILLIS);
             return;
         }
         context.pace().recordEnd(lastEvent);
@@ -423,7 +423,7 @@
         } else {
             boolean connectionEnded = failure.kind() == Failure.Kind.UNAVAILABLE;
             retry(
-                    connectionEnded ? PlaceOutcome.ofEarlyEnd(lastEvent - startEvent) : PlaceOutcome.FAILED,
+                    connectionEnded ? PlaceOutcome.ofEarlyEnd(lastEvent - startEvent, true) : PlaceOutcome.FAILED,
                     RETRY_DELAY_MILLIS);
         }
     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
@@ -188,46 +188,46 @@
       "rmoor.gateway.PermitWork\0220\n\006prompt\030\014 \001(\013" +
       "2 .tanagermoor.gateway.PromptParts\"3\n\nPe" +
       "rmitWork\022\016\n\006millis\030\001 \001(\r\022\025\n\rdone_permill" +
-      "e\030\002 \001(\r\"\300\001\n\014PermitReturn\022\016\n\006permit\030\001 \001(\004" +
+      "e\030\002 \001(\r\"\320\001\n\014PermitReturn\022\016\n\006permit\030\001 \001(\004" +
       "\022:\n\007outcome\030\002 \001(\0162).tanagermoor.gateway." +
-      "PermitReturn.Outcome\"d\n\007Outcome\022\n\n\006UNUSE" +
+      "PermitReturn.Outcome\"t\n\007Outcome\022\n\n\006UNUSE" +
       "D\020\000\022\n\n\006SERVED\020\001\022\017\n\013UNREACHABLE\020\002\022\010\n\004FULL" +
       "\020\003\022\n\n\006FAILED\020\004\022\013\n\007CRASHED\020\005\022\r\n\tABANDONED" +
-      "\020\006\"\331\001\n\nHeldPermit\022\016\n\006permit\030\001 \001(\004\022\017\n\007ser" +
-      "vice\030\002 \001(\t\022\016\n\006target\030\003 \001(\t\022\r\n\005batch\030\004 \001(" +
-      "\010\022\026\n\016on_time_millis\030\005 \001(\005\022-\n\004work\030\006 \001(\0132" +
-      "\037.tanagermoor.gateway.PermitWork\0220\n\006prom" +
-      "pt\030\007 \001(\0132 .tanagermoor.gateway.PromptPar" +
-      "ts\022\022\n\nage_millis\030\010 \001(\r\"\222\001\n\013CrashReport\022\016" +
-      "\n\006permit\030\001 \001(\004\022\016\n\006target\030\002 \001(\t\0220\n\006prompt" +
-      "\030\003 \001(\0132 .tanagermoor.gateway.PromptParts" +
-      "\022\027\n\017sent_age_millis\030\004 \001(\r\022\030\n\020broke_age_m" +
-      "illis\030\005 \001(\r\"\204\002\n\014PermitAnswer\0224\n\004kind\030\001 \001" +
-      "(\0162&.tanagermoor.gateway.PermitAnswer.Ki" +
-      "nd\022\016\n\006target\030\002 \001(\t\022\032\n\022retry_after_millis" +
-      "\030\003 \001(\r\022\025\n\rleft_permille\030\004 \001(\r\022\016\n\006detail\030" +
-      "\005 \001(\t\"k\n\004Kind\022\010\n\004NONE\020\000\022\013\n\007GRANTED\020\001\022\020\n\014" +
-      "RATE_LIMITED\020\002\022\016\n\nOVERLOADED\020\003\022\r\n\tNO_TAR" +
-      "GET\020\004\022\n\n\006RESYNC\020\005\022\017\n\013QUARANTINED\020\006\"\037\n\014Pe" +
-      "rmitRecall\022\017\n\007permits\030\001 \003(\004\")\n\nItemHeade" +
-      "r\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\";\n\013Prompt" +
-      "Parts\022\016\n\006shared\030\001 \003(\t\022\013\n\003own\030\002 \001(\t\022\017\n\007co" +
-      "ntent\030\003 \001(\t\"\245\001\n\007JobItem\022\n\n\002id\030\001 \001(\t\022\014\n\004p" +
-      "ath\030\002 \001(\t\0220\n\007headers\030\003 \003(\0132\037.tanagermoor" +
-      ".gateway.ItemHeader\022\014\n\004body\030\004 \001(\014\022\016\n\006tok" +
-      "ens\030\005 \001(\004\0220\n\006prompt\030\006 \001(\0132 .tanagermoor." +
-      "gateway.PromptParts\"9\n\nJobContent\022+\n\005ite" +
-      "ms\030\001 \003(\0132\034.tanagermoor.gateway.JobItem\"\256" +
-      "\001\n\006JobRow\022\n\n\002id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004h" +
-      "ost\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022\027\n\017accepted_mill" +
-      "is\030\005 \001(\004\022\r\n\005total\030\006 \001(\r\022\020\n\010recorded\030\007 \001(" +
-      "\r\022\r\n\005ended\030\010 \001(\010\022\026\n\016tokens_waiting\030\t \001(\004" +
-      "\022\r\n\005owner\030\n \001(\t\"L\n\nResultPart\022\014\n\004item\030\001 " +
-      "\001(\t\022\021\n\tcompleted\030\002 \001(\010\022\016\n\006output\030\003 \001(\014\022\r" +
-      "\n\005parts\030\004 \001(\r\"R\n\014ItemProgress\022\014\n\004item\030\001 " +
-      "\001(\t\022\022\n\nlast_event\030\002 \001(\004\022\016\n\006output\030\003 \001(\014\022" +
-      "\020\n\010failures\030\004 \001(\rB!\n\035org.tanagermoor.gat" +
-      "eway.protoP\001b\006proto3"
+      "\020\006\022\016\n\nBROKEN_OFF\020\007\"\331\001\n\nHeldPermit\022\016\n\006per" +
+      "mit\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\016\n\006target\030\003 \001" +
+      "(\t\022\r\n\005batch\030\004 \001(\010\022\026\n\016on_time_millis\030\005 \001(" +
+      "\005\022-\n\004work\030\006 \001(\0132\037.tanagermoor.gateway.Pe" +
+      "rmitWork\0220\n\006prompt\030\007 \001(\0132 .tanagermoor.g" +
+      "ateway.PromptParts\022\022\n\nage_millis\030\010 \001(\r\"\222" +
+      "\001\n\013CrashReport\022\016\n\006permit\030\001 \001(\004\022\016\n\006target" +
+      "\030\002 \001(\t\0220\n\006prompt\030\003 \001(\0132 .tanagermoor.gat" +
+      "eway.PromptParts\022\027\n\017sent_age_millis\030\004 \001(" +
+      "\r\022\030\n\020broke_age_millis\030\005 \001(\r\"\204\002\n\014PermitAn" +
+      "swer\0224\n\004kind\030\001 \001(\0162&.tanagermoor.gateway" +
+      ".PermitAnswer.Kind\022\016\n\006target\030\002 \001(\t\022\032\n\022re" +
+      "try_after_millis\030\003 \001(\r\022\025\n\rleft_permille\030" +
+      "\004 \001(\r\022\016\n\006detail\030\005 \001(\t\"k\n\004Kind\022\010\n\004NONE\020\000\022" +
+      "\013\n\007GRANTED\020\001\022\020\n\014RATE_LIMITED\020\002\022\016\n\nOVERLO" +
+      "ADED\020\003\022\r\n\tNO_TARGET\020\004\022\n\n\006RESYNC\020\005\022\017\n\013QUA" +
+      "RANTINED\020\006\"\037\n\014PermitRecall\022\017\n\007permits\030\001 " +
+      "\003(\004\")\n\nItemHeader\022\014\n\004name\030\001 \001(\t\022\r\n\005value" +
+      "\030\002 \001(\t\";\n\013PromptParts\022\016\n\006shared\030\001 \003(\t\022\013\n" +
+      "\003own\030\002 \001(\t\022\017\n\007content\030\003 \001(\t\"\245\001\n\007JobItem\022" +
+      "\n\n\002id\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\0220\n\007headers\030\003 \003" +
+      "(\0132\037.tanagermoor.gateway.ItemHeader\022\014\n\004b" +
+      "ody\030\004 \001(\014\022\016\n\006tokens\030\005 \001(\004\0220\n\006prompt\030\006 \001(" +
+      "\0132 .tanagermoor.gateway.PromptParts\"9\n\nJ" +
+      "obContent\022+\n\005items\030\001 \003(\0132\034.tanagermoor.g" +
+      "ateway.JobItem\"\256\001\n\006JobRow\022\n\n\002id\030\001 \001(\t\022\014\n" +
+      "\004team\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022" +
+      "\027\n\017accepted_millis\030\005 \001(\004\022\r\n\005total\030\006 \001(\r\022" +
+      "\020\n\010recorded\030\007 \001(\r\022\r\n\005ended\030\010 \001(\010\022\026\n\016toke" +
+      "ns_waiting\030\t \001(\004\022\r\n\005owner\030\n \001(\t\"L\n\nResul" +
+      "tPart\022\014\n\004item\030\001 \001(\t\022\021\n\tcompleted\030\002 \001(\010\022\016" +
+      "\n\006output\030\003 \001(\014\022\r\n\005parts\030\004 \001(\r\"R\n\014ItemPro" +
+      "gress\022\014\n\004item\030\001 \001(\t\022\022\n\nlast_event\030\002 \001(\004\022" +
+      "\016\n\006output\030\003 \001(\014\022\020\n\010failures\030\004 \001(\rB!\n\035org" +
+      ".tanagermoor.gateway.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitReturn.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitReturn.java
@@ -82,6 +82,10 @@
      * <code>ABANDONED = 6;</code>
      */
     ABANDONED(6),
+    /**
+     * <code>BROKEN_OFF = 7;</code>
+     */
+    BROKEN_OFF(7),
     UNRECOGNIZED(-1),
     ;
 
@@ -122,6 +126,10 @@
      * <code>ABANDONED = 6;</code>
      */
     public static final int ABANDONED_VALUE = 6;
+    /**
+     * <code>BROKEN_OFF = 7;</code>
+     */
+    public static final int BROKEN_OFF_VALUE = 7;
 
 
     public final int getNumber() {
@@ -155,6 +163,7 @@
         case 4: return FAILED;
         case 5: return CRASHED;
         case 6: return ABANDONED;
+        case 7: return BROKEN_OFF;
         default: return null;
       }
     }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/PartGuardTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/PartGuardTest.java
@@ -97,8 +97,8 @@
 
     /** A request that crashed its target was placed again, at any instance, whenever its caller sent it again. */
     @ParameterizedTest
-    @ValueSource(booleans = {true, false})
-    void placesARequestThatCrashesTargetsThreeTimes(boolean partsAnswered) {
+    @CsvSource({"CRASHED, true, 3", "CRASHED, false, 3", "BROKEN_OFF, false, 3", "FAILED, false, 10"})
+    void placesARequestThatCrashesTargetsThreeTimes(PlaceOutcome outcome, boolean partsAnswered, int times) {
         int placed = 0;
         for (long permit = FIRST_DEADLY; permit < FIRST_DEADLY + 10; permit++) {
             Ask ask = ask(permit % 2 == 0 ? "x" : "y", permit, false, 5_000, "", Set.of())
@@ -106,7 +106,7 @@
             if (granted(dispatcher.ask(ask, now))) {
                 placed++;
                 advance(100);
-                dispatcher.release(ask.holder(), permit, PlaceOutcome.CRASHED, now);
+                dispatcher.release(ask.holder(), permit, outcome, now);
             }
             advance(100);
             answers(3);
@@ -115,7 +115,7 @@
             }
             advance(2_000);
         }
-        assertThat(placed, is(3));
+        assertThat(placed, is(times));
         answer(new Prompt(List.of("first", "second"), "other", "request:other"));
     }
 
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/prompt/Prompt.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/prompt/Prompt.java
@@ -81,6 +81,11 @@
                 marks.contains(content) ? "" : content);
     }
 
+    /** Returns a prompt of which only the content of the request is known. */
+    public Prompt contentOnly() {
+        return new Prompt(List.of(), "", content);
+    }
+
     private static boolean fits(String part) {
         return !part.isEmpty()
                 && part.indexOf(':') < 0
