--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
@@ -224,22 +224,22 @@
         }
     }
 
-    /** Remembers what the end of a run says about the parts of its prompt. */
+    /** Remembers what the end of a run says about its prompt. */
     private void remember(Placement placement, PlaceOutcome outcome) {
         Ask ask = placement.ask;
         if (outcome == PlaceOutcome.SERVED) {
-            crashReports.answered(ask.prompt().shared());
-        } else if (outcome == PlaceOutcome.CRASHED) {
-            crashReports.add(
-                    ask.permit(),
-                    new Crash(
-                            DispatchCodec.run(self, ask.permit()),
-                            self,
-                            placement.target,
-                            ask.prompt(),
-                            placement.grantedAt,
-                            time.nanos()));
+            crashReports.answered(ask.prompt().marks());
         }
+        outcome.suspected(ask.prompt())
+                .ifPresent(prompt -> crashReports.add(
+                        ask.permit(),
+                        new Crash(
+                                DispatchCodec.run(self, ask.permit()),
+                                self,
+                                placement.target,
+                                prompt,
+                                placement.grantedAt,
+                                time.nanos())));
     }
 
     /**
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
@@ -11,8 +11,8 @@
 import org.tanagermoor.policy.quarantine.QuarantineEntry;
 
 /**
- * Keeps requests with a part that crashes targets away from them. Learns the part from the ends of the runs of all
- * instances, which the dispatcher sees. Not thread-safe.
+ * Keeps requests with a part that crashes targets away from them, and a request that does so itself whenever it is sent
+ * again. Learns which they are from the ends of the runs of all instances, which the dispatcher sees. Not thread-safe.
  */
 final class PartGuard {
 
@@ -54,30 +54,31 @@
     /** Records how the use of a place ended. */
     void ended(Grant grant, PlaceOutcome outcome, long now) {
         if (outcome == PlaceOutcome.SERVED) {
-            List<String> parts = grant.prompt.shared();
-            evidence.answered(grant.holder, grant.target, parts, now);
-            quarantine.answered(parts, grant.sentAt, now).forEach(onChange);
+            List<String> marks = grant.prompt.marks();
+            evidence.answered(grant.holder, grant.target, marks, now);
+            quarantine.answered(marks, grant.sentAt, now).forEach(onChange);
             accuse(now);
-        } else if (outcome == PlaceOutcome.CRASHED) {
-            String run = DispatchCodec.run(grant.holder, grant.permit);
-            crashed(new Crash(run, grant.holder, grant.target, grant.prompt, grant.sentAt, now), now);
         }
+        String run = DispatchCodec.run(grant.holder, grant.permit);
+        outcome.suspected(grant.prompt)
+                .ifPresent(
+                        prompt -> crashed(new Crash(run, grant.holder, grant.target, prompt, grant.sentAt, now), now));
     }
 
-    /** Records a run that broke off when its target had just begun to answer it. */
+    /** Records a run that broke off. */
     void crashed(Crash crash, long now) {
         evidence.crashed(crash, quarantine::holds);
         accuse(now);
     }
 
-    /** Holds back the parts that the evidence accuses. */
+    /** Holds back the marks that the evidence accuses. */
     private void accuse(long now) {
         for (Optional<CrashEvidence.Accusation> accusation = evidence.accusation(now);
                 accusation.isPresent();
                 accusation = evidence.accusation(now)) {
             evidence.explain(accusation.get());
             onChange.accept(
-                    quarantine.hold(accusation.get().part(), accusation.get().evidence(), now));
+                    quarantine.hold(accusation.get().mark(), accusation.get().evidence(), now));
         }
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -403,7 +403,7 @@
 
     /** Returns the outcome of a run whose connection has ended too early. */
     private PlaceOutcome endedOutcome() {
-        return PlaceOutcome.ofEarlyEnd(runEvents());
+        return PlaceOutcome.ofEarlyEnd(runEvents(), route.resumable());
     }
 
     /** Returns whether the route, its attempts and the deadline allow another run. */
