Find the instances that run among the rows of many that are gone

With 1,200 rows of instances that are gone, an instance without seeds that run would seldom have found the only one that does.

Cause: a row says nothing of how recently its instance ran, as each instance wrote its row once per start, and the table was read only then.

Change: each instance writes its row and reads the others every 10 minutes, so that versions, which grow with each write of the store, tell which rows are new. The 8 newest rows are probed first; the others become candidates after them, as before. An instance that found nobody tries again after 10 minutes. One more write and read for each instance in 10 minutes.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/InstanceTable.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/InstanceTable.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.tanagermoor.gateway.GatewayEvent;
@@ -16,8 +17,8 @@
 import org.tanagermoor.store.table.Transaction;
 
 /**
- * Publishes the addresses of this instance in a table of the store, and reads those of the others from it. Each
- * instance writes its row once per start.
+ * Publishes the addresses of this instance in a table of the store, and reads those of the others from it, at the start
+ * and at an interval. The rows of instances that run are thus among the newest.
  */
 public final class InstanceTable {
 
@@ -26,6 +27,12 @@
     /** The delay before a failed call is repeated, in milliseconds. */
     private static final long RETRY_MILLIS = 500;
 
+    /** The interval at which the row of this instance is written and the others are read again, in milliseconds. */
+    private static final long REFRESH_MILLIS = TimeUnit.MINUTES.toMillis(10);
+
+    /** The number of the newest rows whose instances are probed first. */
+    private static final int NEWEST_ROWS = 8;
+
     private final TableService tables;
 
     private final EventLoop loop;
@@ -37,7 +44,7 @@
 
     private final TimeSource time;
 
-    /** Called when the rows of the others have been read. */
+    /** Called when the newest rows of the others have been read; the older ones follow. */
     private final Runnable onRead;
 
     private InstanceTable(
@@ -58,7 +65,7 @@
      * @param liveness Receives the instances that were read, as candidates.
      * @param events The log.
      * @param time The source of the current time.
-     * @param onRead Called when the rows of the others have been read.
+     * @param onRead Called when the newest rows of the others have been read; the older ones follow.
      * @return A table.
      */
     public static InstanceTable of(
@@ -66,7 +73,10 @@
         return new InstanceTable(tables, loop, liveness, events, time, onRead);
     }
 
-    /** Writes the row of this instance, then reads those of the others; each call is repeated until it succeeds. */
+    /**
+     * Writes the row of this instance, then reads those of the others, now and at an interval; each call is repeated
+     * until it succeeds.
+     */
     public void start() {
         loop.execute(this::write);
     }
@@ -96,22 +106,31 @@
         tables.scanAll(TABLE, "").subscribe(result -> loop.execute(() -> handleRows(result)));
     }
 
-    /** Adds the instances that were read as candidates. */
+    /** Adds the instances that were read as candidates, the newest rows first. */
     private void handleRows(Either<Failure, List<Row>> result) {
         if (result.isLeft()) {
             events.record(GatewayEvent.STORE_LOST, "table", TABLE, "step", "read", "failure", result.getLeft());
             loop.schedule(this::read, RETRY_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
-        long now = time.nanos();
-        for (Row row : result.get()) {
-            try {
-                MemberCodec.fromMessage(MemberSign.parseFrom(row.value()))
-                        .ifPresent(heartbeat -> liveness.addCandidate(heartbeat.instance(), now));
-            } catch (InvalidProtocolBufferException exception) {
-                events.record(GatewayEvent.ROW_UNREADABLE, "row", row.key(), "failure", exception);
-            }
-        }
+        List<Row> rows = result.get().stream()
+                .filter(row -> !row.key().key().equals(liveness.self().id().name()))
+                .sorted(Comparator.comparing(Row::version).reversed())
+                .toList();
+        int newest = Math.min(NEWEST_ROWS, rows.size());
+        rows.subList(0, newest).forEach(this::addCandidate);
         onRead.run();
+        rows.subList(newest, rows.size()).forEach(this::addCandidate);
+        loop.schedule(this::write, REFRESH_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Adds the instance of a row as a candidate. */
+    private void addCandidate(Row row) {
+        try {
+            MemberCodec.fromMessage(MemberSign.parseFrom(row.value()))
+                    .ifPresent(heartbeat -> liveness.addCandidate(heartbeat.instance(), time.nanos()));
+        } catch (InvalidProtocolBufferException exception) {
+            events.record(GatewayEvent.ROW_UNREADABLE, "row", row.key(), "failure", exception);
+        }
     }
 }
