Remove the rows of instances that are gone

Each name of an instance left a row in the table of instances for good, so that each start reads more.

Cause: nothing removed rows.

Change: an instance that has read the same version of a row for an hour, and does not know its instance to run, removes it, at most 45 rows in one commit each 10 minutes (two entries each; a commit holds 100). The commit has the version of each row as its condition, so a row that is written again in the meantime stays; then the removal is tried again 10 minutes later. No clocks of two instances are compared. An instance that was removed although it runs, as it reached neither the store nor the others for an hour, writes its row again with its next refresh.

Evidence: InstanceTableTest.removesRowsOfInstancesThatAreGone (1 to 200 rows, both sides of 45; one of an instance that runs but does not reach the store, one that returns) failed before in 5 of 5 cases, and passes now.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/InstanceTable.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/InstanceTable.java
@@ -4,7 +4,9 @@
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.tanagermoor.gateway.GatewayEvent;
 import org.tanagermoor.gateway.proto.MemberSign;
@@ -18,7 +20,7 @@
 
 /**
  * Publishes the addresses of this instance in a table of the store, and reads those of the others from it, at the start
- * and at an interval. The rows of instances that run are thus among the newest.
+ * and at an interval. The rows of instances that run are thus among the newest; those that grow old are removed.
  */
 public final class InstanceTable {
 
@@ -33,6 +35,15 @@
     /** The number of the newest rows whose instances are probed first. */
     private static final int NEWEST_ROWS = 8;
 
+    /**
+     * The time after which a row that was not written again is removed, in nanoseconds: its instance is gone, or has
+     * not reached the store for several intervals.
+     */
+    private static final long AGED_NANOS = TimeUnit.HOURS.toNanos(1);
+
+    /** The maximum number of rows that one commit removes: commits hold 100 entries, and each row takes two. */
+    private static final int MAX_REMOVED_ROWS = 45;
+
     private final TableService tables;
 
     private final EventLoop loop;
@@ -47,6 +58,9 @@
     /** Called when the newest rows of the others have been read; the older ones follow. */
     private final Runnable onRead;
 
+    /** The rows of the others as they were last read, by name. */
+    private final Map<String, Seen> seen = new HashMap<>();
+
     private InstanceTable(
             TableService tables, EventLoop loop, Liveness liveness, EventLog events, TimeSource time, Runnable onRead) {
         this.onRead = onRead;
@@ -114,13 +128,14 @@
             return;
         }
         List<Row> rows = result.get().stream()
-                .filter(row -> !row.key().key().equals(liveness.self().id().name()))
+                .filter(row -> !name(row).equals(liveness.self().id().name()))
                 .sorted(Comparator.comparing(Row::version).reversed())
                 .toList();
         int newest = Math.min(NEWEST_ROWS, rows.size());
         rows.subList(0, newest).forEach(this::addCandidate);
         onRead.run();
         rows.subList(newest, rows.size()).forEach(this::addCandidate);
+        removeAged(rows, time.nanos());
         loop.schedule(this::write, REFRESH_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -133,4 +148,54 @@
             events.record(GatewayEvent.ROW_UNREADABLE, "row", row.key(), "failure", exception);
         }
     }
+
+    /** Removes some of the rows that have not been written for long, unless their instances are known to run. */
+    private void removeAged(List<Row> rows, long now) {
+        seen.keySet().retainAll(rows.stream().map(InstanceTable::name).toList());
+        Transaction removal = Transaction.EMPTY;
+        for (Row row : rows) {
+            Seen last = seen.get(name(row));
+            if (last == null || last.version != row.version()) {
+                seen.put(name(row), new Seen(row.version(), now));
+            } else if (now - last.sinceNanos >= AGED_NANOS
+                    && !runs(name(row), now)
+                    && removal.writes().size() < MAX_REMOVED_ROWS) {
+                RowKey key = RowKey.of(TABLE, name(row));
+                removal = removal.withCondition(key, row.version()).withDelete(key);
+            }
+        }
+        if (!removal.writes().isEmpty()) {
+            tables.commit(removal)
+                    .subscribe(result -> loop.execute(() -> {
+                        if (result.isLeft()) {
+                            events.record(
+                                    GatewayEvent.STORE_LOST,
+                                    "table",
+                                    TABLE,
+                                    "step",
+                                    "age",
+                                    "failure",
+                                    result.getLeft());
+                        }
+                    }));
+        }
+    }
+
+    /** Returns whether another instance is known to run. */
+    private boolean runs(String name, long now) {
+        return liveness.running(now).stream()
+                .anyMatch(instance -> instance.id().name().equals(name));
+    }
+
+    private static String name(Row row) {
+        return row.key().key();
+    }
+
+    /**
+     * A row that was read.
+     *
+     * @param version The version of the row.
+     * @param sinceNanos The monotonic time in nanoseconds at which this version was first read.
+     */
+    private record Seen(long version, long sinceNanos) {}
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/member/InstanceTableTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/member/InstanceTableTest.java
@@ -1,6 +1,7 @@
 package org.tanagermoor.gateway.member;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
@@ -40,6 +41,9 @@
     /** The names of the candidates after each read. */
     private final List<List<String>> candidates = new ArrayList<>();
 
+    /** The other instances whose heartbeats arrive. */
+    private final List<Instance> running = new ArrayList<>();
+
     private final Liveness liveness = Liveness.of(instance("self", 1));
 
     /** The current time in nanoseconds. */
@@ -78,6 +82,23 @@
         assertThat(candidates.get(1).size(), is(lessThanOrEqualTo(MAX_PROBES)));
     }
 
+    /** Nothing removed the rows of instances that are gone, so that the table grew without end. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 44, 45, 46, 200})
+    void removesRowsOfInstancesThatAreGone(int gone) {
+        for (int row = 0; row < gone; row++) {
+            write(instance("gone-" + row, row + 10));
+        }
+        running.add(instance("runs", 2));
+        write(running.get(0));
+        table.start();
+        advance(TimeUnit.MINUTES.toMillis(55));
+        assertThat(names(), hasSize(gone + 2));
+        write(instance("returned", 3));
+        advance(TimeUnit.MINUTES.toMillis(60));
+        assertThat(names(), containsInAnyOrder("self", "runs", "returned"));
+    }
+
     /** The row of an instance that runs is written again, so that it stays among the newest. */
     @Test
     void writesItsRowAgain() {
@@ -97,6 +118,12 @@
         assertThat(tables.commit(Transaction.EMPTY.withPut(key, value)).block().isRight(), is(true));
     }
 
+    private List<String> names() {
+        return tables.scanAll(TABLE, "").block().get().stream()
+                .map(row -> row.key().key())
+                .toList();
+    }
+
     private long version(String name) {
         return tables.read(RowKey.of(TABLE, name)).block().get().get().version();
     }
@@ -107,6 +134,7 @@
         while (left > 0) {
             long step = Math.min(left, 500);
             now += TimeUnit.MILLISECONDS.toNanos(step);
+            running.forEach(instance -> liveness.observe(new Liveness.Heartbeat(instance, 0, false), now));
             channel.advanceTimeBy(step, TimeUnit.MILLISECONDS);
             channel.runPendingTasks();
             // Forgets silent candidates, as the periodic exchanges do.
