Find other instances though the store never takes the own row

Cause: a row that the store refused for its size was written again each 0.5 s for ever, and the others were not read before it was taken. Each failed attempt was logged, 14 lines in an outage of the store of 7 s.

Change: a row refused for its size is treated like one refused for its content; it is written again with the next refresh. A failure is logged again only if its cause differs from that of the last one.

Evidence: InstanceTableTest.readsTheOthersThoughItsRowIsNeverTaken failed before for a refusal for its size (1 of 2 cases) and logsAnOutageOnce failed; both pass now.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/InstanceTable.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/InstanceTable.java
@@ -7,7 +7,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.tanagermoor.gateway.GatewayEvent;
 import org.tanagermoor.gateway.proto.MemberSign;
 import org.tanagermoor.kernel.event.EventLog;
@@ -44,6 +46,9 @@
     /** The maximum number of rows that one commit removes: commits hold 100 entries, and each row takes two. */
     private static final int MAX_REMOVED_ROWS = 45;
 
+    /** The kinds of failure of a row that the store does not take as it is. */
+    private static final Set<Failure.Kind> NEVER_TAKEN = Set.of(Failure.Kind.INVALID, Failure.Kind.TOO_LARGE);
+
     private final TableService tables;
 
     private final EventLoop loop;
@@ -61,6 +66,10 @@
     /** The rows of the others as they were last read, by name. */
     private final Map<String, Seen> seen = new HashMap<>();
 
+    /** The last failure; {@code null} since the rows of the others were read. */
+    @Nullable
+    private Failure failure;
+
     private InstanceTable(
             TableService tables, EventLoop loop, Liveness liveness, EventLog events, TimeSource time, Runnable onRead) {
         this.onRead = onRead;
@@ -103,10 +112,10 @@
         tables.commit(Transaction.EMPTY.withPut(RowKey.of(TABLE, self.id().name()), value))
                 .subscribe(result -> loop.execute(() -> {
                     if (result.isLeft()) {
-                        events.record(
-                                GatewayEvent.STORE_LOST, "table", TABLE, "step", "write", "failure", result.getLeft());
+                        recordFailure("write", result.getLeft());
                     }
-                    if (result.isLeft() && result.getLeft().kind() != Failure.Kind.INVALID) {
+                    if (result.isLeft()
+                            && !NEVER_TAKEN.contains(result.getLeft().kind())) {
                         loop.schedule(this::write, RETRY_MILLIS, TimeUnit.MILLISECONDS);
                     } else {
                         // The others are found even if the store does not take the row of this instance.
@@ -123,10 +132,11 @@
     /** Adds the instances that were read as candidates, the newest rows first. */
     private void handleRows(Either<Failure, List<Row>> result) {
         if (result.isLeft()) {
-            events.record(GatewayEvent.STORE_LOST, "table", TABLE, "step", "read", "failure", result.getLeft());
+            recordFailure("read", result.getLeft());
             loop.schedule(this::read, RETRY_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
+        failure = null;
         List<Row> rows = result.get().stream()
                 .filter(row -> !name(row).equals(liveness.self().id().name()))
                 .sorted(Comparator.comparing(Row::version).reversed())
@@ -181,6 +191,16 @@
         }
     }
 
+    /** Logs a failed call, unless the last one failed for the same cause. */
+    private void recordFailure(String step, Failure current) {
+        if (failure == null
+                || failure.kind() != current.kind()
+                || !failure.step().equals(current.step())) {
+            events.record(GatewayEvent.STORE_LOST, "table", TABLE, "step", step, "failure", current);
+        }
+        failure = current;
+    }
+
     /** Returns whether another instance is known to run. */
     private boolean runs(String name, long now) {
         return liveness.running(now).stream()
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/member/InstanceTableTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/member/InstanceTableTest.java
@@ -1,6 +1,7 @@
 package org.tanagermoor.gateway.member;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
@@ -8,19 +9,32 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.tanagermoor.gateway.GatewayEvent;
 import org.tanagermoor.kernel.event.EventLog;
+import org.tanagermoor.kernel.event.EventRecord;
+import org.tanagermoor.kernel.event.EventType;
+import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.kernel.setting.Address;
+import org.tanagermoor.kernel.time.HybridClock;
 import org.tanagermoor.kernel.time.TimeSource;
 import org.tanagermoor.policy.fleet.InstanceId;
+import org.tanagermoor.store.table.CommitResult;
+import org.tanagermoor.store.table.Row;
 import org.tanagermoor.store.table.RowKey;
+import org.tanagermoor.store.table.RowPage;
 import org.tanagermoor.store.table.TableService;
 import org.tanagermoor.store.table.Transaction;
+import reactor.core.publisher.Mono;
 
 /** Instances that find each other in the store, on an event loop with a simulated clock. */
 final class InstanceTableTest {
@@ -38,6 +52,9 @@
 
     private final TimeSource time = new Clock();
 
+    /** The steps that have failed, as they were logged. */
+    private final List<String> failedSteps = new ArrayList<>();
+
     /** The names of the candidates after each read. */
     private final List<List<String>> candidates = new ArrayList<>();
 
@@ -46,14 +63,17 @@
 
     private final Liveness liveness = Liveness.of(instance("self", 1));
 
+    /** The kind of failure of all commits; {@code null} if they succeed. */
+    private Failure.@Nullable Kind failure;
+
     /** The current time in nanoseconds. */
     private long now = TimeUnit.SECONDS.toNanos(100);
 
     private final InstanceTable table = InstanceTable.of(
-            tables,
+            new FailingTables(),
             channel.eventLoop(),
             liveness,
-            new EventLog.Disabled(),
+            new Log(),
             time,
             () -> candidates.add(liveness.silent(now).stream()
                     .map(instance -> instance.id().name())
@@ -111,6 +131,33 @@
         assertThat(version("other") > first, is(true));
     }
 
+    /** An instance whose row the store never takes still finds the others. */
+    @ParameterizedTest
+    @EnumSource(
+            value = Failure.Kind.class,
+            names = {"INVALID", "TOO_LARGE"})
+    void readsTheOthersThoughItsRowIsNeverTaken(Failure.Kind kind) {
+        write(instance("runs", 2));
+        failure = kind;
+        table.start();
+        advance(TimeUnit.SECONDS.toMillis(1));
+        assertThat(candidates, contains(contains("runs")));
+    }
+
+    /** An outage of the store is logged once, not with each repetition. */
+    @Test
+    void logsAnOutageOnce() {
+        write(instance("runs", 2));
+        failure = Failure.Kind.UNAVAILABLE;
+        table.start();
+        advance(TimeUnit.MINUTES.toMillis(2));
+        assertThat(failedSteps, contains("write"));
+        assertThat(candidates, is(List.of()));
+        failure = null;
+        advance(TimeUnit.SECONDS.toMillis(5));
+        assertThat(candidates, contains(contains("runs")));
+    }
+
     private void write(Instance instance) {
         byte[] value = MemberCodec.toMessage(new Liveness.Heartbeat(instance, 0, false))
                 .toByteArray();
@@ -147,6 +194,31 @@
         return new Instance(InstanceId.of(name, incarnation), ADDRESS, ADDRESS, "lisbon", 0, 1);
     }
 
+    /** Tables whose commits can fail. */
+    private final class FailingTables implements TableService {
+
+        /** {@inheritDoc} */
+        @Override
+        public Mono<Either<Failure, Optional<Row>>> read(RowKey key) {
+            return tables.read(key);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public Mono<Either<Failure, RowPage>> scan(String name, String prefix, String after, int limit) {
+            return tables.scan(name, prefix, after, limit);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public Mono<Either<Failure, CommitResult>> commit(Transaction transaction) {
+            Failure.Kind kind = failure;
+            return kind == null
+                    ? tables.commit(transaction)
+                    : Mono.just(Either.left(Failure.notRun(kind, "store.commit", ADDRESS.toString(), "refused")));
+        }
+    }
+
     /** Tells the time of the test. */
     private final class Clock implements TimeSource {
 
@@ -162,4 +234,28 @@
             return TimeUnit.NANOSECONDS.toMillis(now);
         }
     }
+
+    /** Keeps the steps that have failed. */
+    private final class Log implements EventLog {
+
+        /** {@inheritDoc} */
+        @Override
+        public void record(EventType type, Object... fields) {
+            if (type == GatewayEvent.STORE_LOST) {
+                failedSteps.add(fields[3].toString());
+            }
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public List<EventRecord> since(long sequence, int limit) {
+            return List.of();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public HybridClock clock() {
+            return new HybridClock();
+        }
+    }
 }
