Count requests that wait for an earlier one of their connection

A planned stop ends when no request is counted; a request that waited behind another one on its connection counted only from the moment at which the answer to the earlier one was written. If the check fell between the two, the process ended without answering it.

Change: requests count from their arrival until their answer is written or their connection ends.

Evidence: CallerConnectionTest.countsRequestsThatWaitForAnEarlierOne failed before with 2, 16 and 17 requests, and passes now; countsOffRequestsWhoseConnectionEnds (both sides of the 17 that a connection may have open) passed before and passes now.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/CallerConnection.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/CallerConnection.java
@@ -55,8 +55,10 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         FullHttpRequest request = (FullHttpRequest) message;
         if (current == null) {
+            active.arrived();
             startExchange(context, request);
         } else if (waiting.size() < MAX_PIPELINED_REQUESTS) {
+            active.arrived();
             waiting.add(request);
         } else {
             ReferenceCountUtil.release(request);
@@ -72,7 +74,10 @@
         if (exchange != null) {
             exchange.callerLeft();
         }
-        waiting.forEach(ReferenceCountUtil::release);
+        for (FullHttpRequest request : waiting) {
+            active.written();
+            ReferenceCountUtil.release(request);
+        }
         waiting.clear();
     }
 
@@ -153,7 +158,6 @@
         Exchange(ChannelHandlerContext context, boolean keepAlive) {
             this.context = context;
             this.keepAlive = keepAlive;
-            active.arrived();
         }
 
         private void ended() {
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/edge/CallerConnectionTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/edge/CallerConnectionTest.java
@@ -80,6 +80,39 @@
         channel.close();
     }
 
+    /**
+     * Requests that wait behind another one of their connection were not counted, so that an instance that stops could
+     * end between two answers.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 16, 17})
+    void countsRequestsThatWaitForAnEarlierOne(int requests) {
+        EmbeddedChannel channel = new EmbeddedChannel(connection);
+        for (int request = 0; request < requests; request++) {
+            channel.writeInbound(request());
+        }
+        for (int answered = 0; answered < requests; answered++) {
+            assertThat(active.count(), is(requests - answered));
+            responders.get(answered).full(response());
+        }
+        assertThat(active.count(), is(0));
+        channel.close();
+    }
+
+    /** Requests that wait for an earlier one are counted off when their connection ends, also if there are too many. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 17, 18, 19})
+    void countsOffRequestsWhoseConnectionEnds(int requests) {
+        EmbeddedChannel channel = new EmbeddedChannel(connection);
+        for (int request = 0; request < requests && channel.isOpen(); request++) {
+            channel.writeInbound(request());
+        }
+        assertThat(channel.isOpen(), is(requests <= 17));
+        channel.close();
+        responders.get(0).full(response());
+        assertThat(active.count(), is(0));
+    }
+
     /** A caller that leaves, or whose answer is aborted, is counted off once. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
