Try ever more seldom to take over a job that the store does not take

In a test, while the store refuses the row of a job, its next owner writes it at each tick (250 ms) and logs each failure, for every job without an owner; no counter tells of it. That is also done with all of them while the store is away, and its calls are priced.

The take-over kept the loop of before.

Change: the take-over uses the same record of failures (StepFailures): 300 ms between attempts while the store is away, then 0.3 to 5 s if the failure does not pass by itself, one line for each cause, counted in batch.job-steps-failed.

Evidence: JobsTest.reportsOnceWhyAJobCannotBeTakenOver failed before in 4 of 4 cases (kinds of failure), and passes now; the job is taken over within 6 s of the store's recovery. Beside it, and green before as well, the number of entries of a commit: recordsAnyNumberOfResultsAfterAnOutage with 1 to 200 results that pile up (both sides of what one and two commits hold).

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
@@ -58,9 +58,12 @@
     /** The jobs that this instance runs, by identity. */
     private final Map<String, JobRun> runs = new HashMap<>();
 
-    /** Identities of the jobs that this instance is taking over. */
+    /** Identities of the jobs that this instance is taking over, or will try to take over again after a pause. */
     private final Set<String> takingOver = new HashSet<>();
 
+    /** Failures to take over jobs, by identity. */
+    private final Map<String, StepFailures> takeOverFailures = new HashMap<>();
+
     private final JobRetention retention;
 
     /** Whether the jobs of this instance are handed over, also those whose acceptance or take-over is in progress. */
@@ -97,6 +100,7 @@
             byte[] value = row.value();
             if (value == null) {
                 jobs.remove(row.key());
+                takeOverFailures.remove(row.key());
                 continue;
             }
             Either<Failure, JobRecord> record = JobStore.record(value, row.version());
@@ -357,19 +361,15 @@
         context.store()
                 .write(record, List.of(), after)
                 .subscribe(result -> context.loop().execute(() -> {
-                    takingOver.remove(id);
                     if (result.isLeft()) {
-                        context.events()
-                                .record(
-                                        GatewayEvent.JOB_WRITE_FAILED,
-                                        "job",
-                                        id,
-                                        "step",
-                                        "take-over",
-                                        "failure",
-                                        result.getLeft());
+                        long pauseMillis = takeOverFailures
+                                .computeIfAbsent(id, key -> new StepFailures(context, id, "take-over"))
+                                .add(result.getLeft());
+                        context.loop().schedule(() -> takingOver.remove(id), pauseMillis, TimeUnit.MILLISECONDS);
                         return;
                     }
+                    takingOver.remove(id);
+                    takeOverFailures.remove(id);
                     observe(result.get());
                     if (result.get().row().getOwner().equals(context.dispatch().self())
                             && result.get().open()
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -4,9 +4,11 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -130,6 +132,12 @@
     /** Whether the store takes no commits. */
     private boolean commitsFail;
 
+    /** The kind of failure of commits while the store takes none. */
+    private Failure.Kind commitFailure = Failure.Kind.UNAVAILABLE;
+
+    /** The number of commits that the store did not take. */
+    private int failedCommits;
+
     /** The maximum size of a commit that the store takes, in bytes. */
     private int maxCommitBytes = 1_000_000;
 
@@ -346,16 +354,69 @@
         "語, 300000, 1000000", "語, 20000, 200000", "a, 45000, 62000", "a, 10, 1000000"
     })
     void recordsResultsOfAnyScriptAfterAnOutage(String text, int characters, int maxBytes) {
-        String output = text.repeat(characters / text.length());
         maxCommitBytes = maxBytes;
-        List<JobItem> items = IntStream.range(0, 24)
+        recordAfterAnOutage(24, text.repeat(characters / text.length()));
+    }
+
+    /** A job that can never be resumed was read again and again without a word of its cause; others are not affected. */
+    @Test
+    void reportsOnceWhyAJobCannotBeResumed() {
+        List<JobItem> items = List.of(
+                JobItem.newBuilder().setId("0").setPath("/batch/j").build(),
+                JobItem.newBuilder().setId("1").setPath("/batch/j").build());
+        JobRecord job = recordJob(items, "one");
+        JobRow row = job.row().toBuilder().setRecorded(1).setTotal(3).build();
+        assertThat(objects.delete("job-j").block().isRight(), is(true));
+        assertThat(store.write(job, List.of(), row).block().isRight(), is(true));
+        advance(30_000);
+        assertThat(this.recorded.get(GatewayEvent.JOB_WRITE_FAILED), contains("j"));
+        submit("k", 1);
+        advance(1_000);
+        assertThat(this.recorded.get(GatewayEvent.REQUEST_PLACED), hasItem("0"));
+    }
+
+    /**
+     * A job that can never be taken over was written, and the failure logged, four times a second without end.
+     *
+     * @param kind The kind of failure of all commits.
+     * @param maxAttempts The maximum number of attempts within 30 s.
+     */
+    @ParameterizedTest
+    @CsvSource({"UNAVAILABLE, 100", "INVALID, 12", "TOO_LARGE, 12", "INTERNAL, 12"})
+    void reportsOnceWhyAJobCannotBeTakenOver(Failure.Kind kind, int maxAttempts) {
+        recordJob(List.of(JobItem.newBuilder().setId("0").setPath("/batch/j").build()), "");
+        commitFailure = kind;
+        commitsFail = true;
+        advance(30_000);
+        assertThat(recorded.get(GatewayEvent.JOB_WRITE_FAILED), contains("j"));
+        assertThat(failedCommits, is(lessThanOrEqualTo(maxAttempts)));
+        assertThat(failedCommits, is(greaterThan(5)));
+        commitsFail = false;
+        advance(6_000);
+        assertThat(recorded.get(GatewayEvent.JOB_TAKEN_OVER), contains("j"));
+    }
+
+    /**
+     * A commit also has a maximum number of entries, which many short results reach before its maximum size.
+     *
+     * @param count The number of results that wait for the store.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 97, 98, 99, 100, 101, 196, 197, 200})
+    void recordsAnyNumberOfResultsAfterAnOutage(int count) {
+        recordAfterAnOutage(count, "short");
+    }
+
+    /** Lets results with an output pile up while the store is away, and checks that all are recorded afterwards. */
+    private void recordAfterAnOutage(int count, String output) {
+        List<JobItem> items = IntStream.range(0, count)
                 .mapToObj(item ->
                         JobItem.newBuilder().setId(Integer.toString(item)).build())
                 .toList();
         JobRow accepted = JobRow.newBuilder()
                 .setId("j")
                 .setOwner(dispatch.self())
-                .setTotal(24)
+                .setTotal(count)
                 .setAcceptedMillis(time.wallMillis())
                 .build();
         JobContent content = JobContent.newBuilder().addAllItems(items).build();
@@ -367,29 +428,14 @@
         commitsFail = false;
         advance(12_000);
         JobRow row = store.read("j").block().get().get().row();
-        assertThat(row.getRecorded(), is(24));
+        assertThat(row.getRecorded(), is(count));
         List<JobResult> results = new ArrayList<>();
-        while (results.size() < 24) {
-            results.addAll(store.results("j", results.size(), 24).block().get().results());
+        while (results.size() < count) {
+            results.addAll(
+                    store.results("j", results.size(), count).block().get().results());
         }
         assertThat(results.stream().map(JobResult::output).distinct().toList(), is(List.of(output)));
-    }
-
-    /** A job that can never be resumed was read again and again without a word of its cause; others are not affected. */
-    @Test
-    void reportsOnceWhyAJobCannotBeResumed() {
-        List<JobItem> items = List.of(
-                JobItem.newBuilder().setId("0").setPath("/batch/j").build(),
-                JobItem.newBuilder().setId("1").setPath("/batch/j").build());
-        JobRecord job = recordJob(items, "one");
-        JobRow row = job.row().toBuilder().setRecorded(1).setTotal(3).build();
-        assertThat(objects.delete("job-j").block().isRight(), is(true));
-        assertThat(store.write(job, List.of(), row).block().isRight(), is(true));
-        advance(30_000);
-        assertThat(this.recorded.get(GatewayEvent.JOB_WRITE_FAILED), contains("j"));
-        submit("k", 1);
-        advance(1_000);
-        assertThat(this.recorded.get(GatewayEvent.REQUEST_PLACED), hasItem("0"));
+        assertThat(results.stream().map(JobResult::item).distinct().count(), is((long) count));
     }
 
     /** Stores a job of an instance that is gone, whose items but the last have been recorded with an output. */
@@ -475,8 +521,9 @@
         @Override
         public Mono<Either<Failure, CommitResult>> commit(Transaction transaction) {
             if (commitsFail) {
-                return Mono.just(Either.left(
-                        Failure.notRun(Failure.Kind.UNAVAILABLE, "store.commit", ADDRESS.toString(), "away")));
+                failedCommits++;
+                return Mono.just(
+                        Either.left(Failure.notRun(commitFailure, "store.commit", ADDRESS.toString(), "refused")));
             }
             return tooLarge(transaction)
                     ? Mono.just(Either.left(
