--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -41,6 +41,7 @@
 import org.tanagermoor.gateway.dispatch.DispatchServer;
 import org.tanagermoor.gateway.dispatch.TeamRates;
 import org.tanagermoor.gateway.edge.CallHead;
+import org.tanagermoor.gateway.edge.CallerRequest;
 import org.tanagermoor.gateway.fleet.Backend;
 import org.tanagermoor.gateway.fleet.CallerLimits;
 import org.tanagermoor.gateway.fleet.FleetCodec;
@@ -407,6 +408,43 @@
         recordAfterAnOutage(count, "short");
     }
 
+    /**
+     * A reader gets the results that fit into one answer, and at least one, and reads on after them.
+     *
+     * @param characters The number of characters of each of three outputs.
+     * @param first The number of results in the first answer.
+     */
+    @ParameterizedTest
+    @CsvSource({"10, 3", "326601, 3", "326602, 2", "489934, 2", "489935, 2", "489936, 1", "979935, 1", "979936, 1"})
+    void answersReadersInParts(int characters, int first) {
+        List<JobItem> items = IntStream.rangeClosed(0, 3)
+                .mapToObj(item -> JobItem.newBuilder()
+                        .setId(Integer.toString(item))
+                        .setPath("/batch/j")
+                        .build())
+                .toList();
+        recordJob(items, "x".repeat(characters));
+        List<Integer> pages = new ArrayList<>();
+        int read = 0;
+        while (read < 3 && pages.size() < 4) {
+            JobPage page = read(read);
+            pages.add(page.results().size());
+            read += page.results().size();
+            assertThat(page.next(), is(read));
+        }
+        assertThat(pages.get(0), is(first));
+        assertThat(read, is(3));
+    }
+
+    /** Returns the answer to a reader of the job from a position on. */
+    private JobPage read(int after) {
+        CallHead head = new CallHead("", "GET", "/", "/", "host", null, 0, Prompt.NONE, 0, 0, List.of());
+        List<JobAnswer> answers = new ArrayList<>();
+        jobs.results(new CallerRequest.ReadResults(head, "j", after, 0), "", answers::add);
+        channel.runPendingTasks();
+        return ((JobAnswer.Results) answers.get(0)).page();
+    }
+
     /** Lets results with an output pile up while the store is away, and checks that all are recorded afterwards. */
     private void recordAfterAnOutage(int count, String output) {
         List<JobItem> items = IntStream.range(0, count)
