Give up the items of a job in a loop, not in nested calls

Cause: JobRun.askForPlaces abandons the items one by one; each ItemRun.abandon reports its result to JobRun.finished, which asked for places again, and so abandoned the next item inside that call. With the stacks of 256 KB of an instance (bin/package) some 150 items overflow it. The error left the periodic checks of the instance, which are then cancelled; that half is a fault of its own and not mended here.

Change: an ask that comes while one is in progress lets that one run once more instead of calling it. An item is asked only if it is still idle, since a pass may now end others.

Evidence: JobsTest.abandonsAllItemsOnASmallStack abandons 100, 200 and 3,000 items on a thread with a stack of 256 KB. Before, 100 passed, and 200 and 3,000 failed with a StackOverflowError; now all pass. JobsTest (33), JobLoadTest (20) and AskOrderTest (7): passed.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
@@ -73,6 +73,12 @@
     /** Whether this instance no longer runs the job. */
     private boolean stopped;
 
+    /** Whether this instance is asking for places for items, or abandoning them. */
+    private boolean asking;
+
+    /** Whether an item has ended meanwhile, so that others may ask. */
+    private boolean askAgain;
+
     /** Whether the job is being handed over to another instance. */
     private boolean handingOver;
 
@@ -217,8 +223,28 @@
         }
     }
 
-    /** Asks for places for items that can run. Abandons all items if the time for the job is over. */
+    /**
+     * Asks for places for items that can run. Abandons all items if the time for the job is over. An item that ends in
+     * the course of it does not call this again, but lets it run once more: the depth of the calls must not grow with
+     * the number of items.
+     */
     void askForPlaces() {
+        askAgain = true;
+        if (asking) {
+            return;
+        }
+        asking = true;
+        try {
+            while (askAgain) {
+                askAgain = false;
+                askOnce();
+            }
+        } finally {
+            asking = false;
+        }
+    }
+
+    private void askOnce() {
         if (stopped || !loaded || handingOver) {
             return;
         }
@@ -236,7 +262,9 @@
             if (unrecorded.size() >= MAX_UNRECORDED_RESULTS) {
                 return;
             }
-            item.ask(route.get(), due);
+            if (item.idle()) {
+                item.ask(route.get(), due);
+            }
         }
     }
 
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -26,6 +27,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -90,6 +92,9 @@
     /** Time after which items are abandoned, in milliseconds. */
     private static final long ABANDON_MILLIS = 60_000;
 
+    /** Size of the stack of a thread of an instance, in bytes. */
+    private static final long STACK_BYTES = 256 * 1024;
+
     /** Times for which jobs can be read: one longer than items run, and one shorter. */
     private static final List<Duration> RETENTIONS = List.of(Duration.ofSeconds(120), Duration.ofSeconds(5));
 
@@ -239,6 +244,26 @@
         assertThat(store.read("j").block().get().get().row().getRecorded(), is(5));
     }
 
+    /**
+     * All items of a job are given up at once on a thread with a stack as small as that of an instance, however many
+     * there are. The calls were nested once for each item.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {100, 200, 3_000})
+    void abandonsAllItemsOnASmallStack(int items) throws InterruptedException {
+        server.dispatcher().targets(List.of(), service -> 0, now);
+        submit(items);
+        AtomicReference<Throwable> error = new AtomicReference<>();
+        Thread thread = new Thread(null, () -> advance(ABANDON_MILLIS + 5_000), "small-stack", STACK_BYTES);
+        thread.setUncaughtExceptionHandler((failed, thrown) -> error.set(thrown));
+        thread.start();
+        thread.join();
+        assertThat(error.get(), is(nullValue()));
+        assertThat(recorded.get(GatewayEvent.ITEM_ABANDONED), hasSize(items));
+        assertThat(Set.copyOf(recorded.get(GatewayEvent.ITEM_ABANDONED)), hasSize(items));
+        assertThat(store.read("j").block().get().get().row().getRecorded(), is(items));
+    }
+
     /**
      * A job is kept for its retention and while it is open. Then everything that is stored for it is deleted once, also
      * when the store fails for a while.
