Let no recurring duty of an instance end by an error

The error of a job left the periodic checks of its instance, which then took over no job, recorded no progress and dropped no target any more, while its heartbeats went on and it kept ranking first for its share of the jobs. Nothing said so.

Cause: Netty cancels a periodic task that throws, and keeps the error to itself. Gateway.every caught only RuntimeException, Gossip.round nothing. Work that goes on by calling itself again ended the same way: TableFollower, the tables of instances and of parts, and the reads, writes and take-over of a job, each also by a RuntimeException, and with "in progress" still set.

Change: Duties runs all of these. A duty that throws anything is run again, or goes on by its retry step; the parts of the checks (components, jobs) no longer stop one another. Each kind of error is logged once, 64 kinds at most, with the frames, and all are counted (duties.failed). Why a StackOverflowError, a single OutOfMemoryError and other Errors don't end the process: what counts is in the store or is told anew, and the end would cut the answers to all callers, only for the next process to meet the same input. One duty that always lacks memory doesn't suffice: its input would end one instance after the other. Rows that the listener of a TableFollower could not take were in the copy and never passed on again; they are now, one by one.

Evidence, on the code before: JobsTest.goesOnWithAJobAfterAnError failed in both cases with the error out of Jobs.tick; TableFollowerTest.followsOnAfterAnError failed with IllegalStateException (nothing passed on) and with StackOverflowError (the error left the loop; with OutOfMemoryError the test's own process ended).

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import org.tanagermoor.gateway.dispatch.DispatchClient;
 import org.tanagermoor.gateway.dispatch.DispatchServer;
 import org.tanagermoor.gateway.dispatch.TeamRates;
+import org.tanagermoor.gateway.duty.Duties;
 import org.tanagermoor.gateway.edge.CallContext;
 import org.tanagermoor.gateway.edge.CallerDeadlines;
 import org.tanagermoor.gateway.edge.CallerProtocol;
@@ -30,7 +31,6 @@
 import org.tanagermoor.gateway.member.Liveness;
 import org.tanagermoor.gateway.quarantine.PartQuarantine;
 import org.tanagermoor.kernel.event.EventLog;
-import org.tanagermoor.kernel.event.KernelEvent;
 import org.tanagermoor.kernel.plugin.Context;
 import org.tanagermoor.kernel.setting.Address;
 import org.tanagermoor.kernel.time.TimeSource;
@@ -73,6 +73,8 @@
 
     private final TimeSource time;
 
+    private final Duties duties;
+
     private final Liveness liveness;
 
     private final FleetState fleet;
@@ -110,6 +112,9 @@
         this.loop = loop;
         events = context.events();
         time = context.time();
+        GatewayMetrics metrics = GatewayMetrics.of(context.metrics());
+        duties = Duties.of(
+                loop, events, metrics, time, () -> Runtime.getRuntime().halt(Duties.EXIT_EXHAUSTED));
         PeerLink link = context.service(PeerLink.class);
         Instance self = self(context, link);
         String domain = self.domain();
@@ -121,7 +126,7 @@
         targetTable = follow(feed, codec.targetTable(), () -> 0, this::targetsChanged);
         TableService tables = context.service(TableService.class);
         Quarantine parts = Quarantine.of();
-        quarantine = PartQuarantine.of(parts, tables, loop, events, time);
+        quarantine = PartQuarantine.of(parts, tables, loop, duties, events, time);
         dispatchServer = DispatchServer.of(loop, link, liveness, time, rates, parts);
         dispatchClient = DispatchClient.of(loop, link, liveness, dispatchServer, rates, events, time);
         connections = TargetConnections.of(
@@ -129,7 +134,6 @@
                 context.service(TargetProtocol.class),
                 time,
                 target -> loop.execute(() -> fleet.leaving(target.id(), target.startedAtMillis())));
-        GatewayMetrics metrics = GatewayMetrics.of(context.metrics());
         jobs = Jobs.of(jobContext(context, tables, metrics, domain), liveness, this::jobStateFresh);
         jobTable = follow(feed, JobStore.JOBS_TABLE, this::jobReadInterval, jobs::rowsChanged);
         CallerProtocol protocol = context.service(CallerProtocol.class);
@@ -157,7 +161,7 @@
                 quarantine,
                 events,
                 time);
-        instances = InstanceTable.of(tables, loop, liveness, events, time, gossip::probe);
+        instances = InstanceTable.of(tables, loop, duties, liveness, events, time, gossip::probe);
     }
 
     static Gateway of(Context context, EventLoop loop) {
@@ -180,6 +184,7 @@
                 new HashMap<>(),
                 ItemPace.of(),
                 context.service(CallerProtocol.class)::answerBytes,
+                duties,
                 context.settings().value(GatewayPlugin.JOB_RETENTION));
     }
 
@@ -206,9 +211,9 @@
         targetTable.start();
         jobTable.start();
         instances.start();
-        gossip.start();
-        every(TICK_INTERVAL_MILLIS, this::tick);
-        every(REPORT_INTERVAL_MILLIS, dispatchClient::reportAll);
+        gossip.start(duties);
+        duties.every("checks", TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, this::tick);
+        duties.every("reports", REPORT_INTERVAL_MILLIS, REPORT_INTERVAL_MILLIS, dispatchClient::reportAll);
         addresses.forEach(address -> edge.listen(group, address));
     }
 
@@ -259,38 +264,17 @@
         return edge.drained() && jobs.handedOver();
     }
 
-    /** Runs an action at an interval in milliseconds. An exception is logged and does not end the repetition. */
-    @SuppressWarnings("CatchingUnchecked")
-    private void every(long millis, Runnable action) {
-        loop.scheduleAtFixedRate(
-                () -> {
-                    try {
-                        action.run();
-                    } catch (RuntimeException exception) {
-                        events.record(
-                                KernelEvent.DUTY_DEFECT,
-                                "duty",
-                                "gateway",
-                                "error",
-                                exception,
-                                "at",
-                                exception.getStackTrace().length == 0
-                                        ? ""
-                                        : exception.getStackTrace()[0]);
-                    }
-                },
-                millis,
-                millis,
-                TimeUnit.MILLISECONDS);
-    }
-
+    /** Runs the periodic checks of all components, each also if that of another one fails. */
     private void tick() {
         long now = time.nanos();
-        fleet.tick(now);
-        dispatchClient.tick(now);
-        dispatchServer.tick(now);
-        quarantine.tick(liveness.dispatcher(now).id().equals(liveness.self().id()), now);
-        jobs.tick(now);
+        duties.run("fleet", () -> fleet.tick(now));
+        duties.run("dispatch client", () -> dispatchClient.tick(now));
+        duties.run("dispatch server", () -> dispatchServer.tick(now));
+        duties.run(
+                "quarantine",
+                () -> quarantine.tick(
+                        liveness.dispatcher(now).id().equals(liveness.self().id()), now));
+        duties.run("jobs", () -> jobs.tick(now));
     }
 
     private void targetsChanged(List<ChangeFeed.Change> rows) {
@@ -333,6 +317,6 @@
             String table,
             LongSupplier interval,
             java.util.function.Consumer<List<ChangeFeed.Change>> listener) {
-        return TableFollower.of(FollowedTable.of(table), feed, loop, events, time, interval, listener);
+        return TableFollower.of(FollowedTable.of(table), feed, loop, duties, events, time, interval, listener);
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
@@ -112,7 +112,10 @@
     PART_FORGOTTEN(2235, Level.INFO, "the record of a part of prompts was dropped for its age"),
 
     /** The item runs when the part is released, unless the time for its job is over before. */
-    ITEM_HELD_BACK(2236, Level.INFO, "an item waits because a part of its prompt is held back");
+    ITEM_HELD_BACK(2236, Level.INFO, "an item waits because a part of its prompt is held back"),
+
+    /** No duty was done for long because the virtual machine lacks memory; the process ends, and others take over. */
+    DUTIES_EXHAUSTED(2245, Level.ERROR, "this instance ends because it cannot do its duties");
 
     private final Entry entry;
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayMetrics.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayMetrics.java
@@ -29,6 +29,9 @@
     /** Failed attempts to read or write the state of jobs. */
     private final Counter failedJobSteps;
 
+    /** Runs of duties that ended by an error. */
+    private final Counter failedDuties;
+
     /** How long items of jobs waited for each of their places. */
     private final Timer itemWait;
 
@@ -47,6 +50,7 @@
         jobsAccepted = registry.counter("batch.jobs-accepted");
         recordedResults = registry.counter("batch.results-recorded");
         failedJobSteps = registry.counter("batch.job-steps-failed");
+        failedDuties = registry.counter("duties.failed");
         itemWait = registry.timer("batch.item-wait");
         itemsInTime = registry.counter("batch.items-in-time");
         itemsLate = registry.counter("batch.items-late");
@@ -107,6 +111,11 @@
         failedJobSteps.inc();
     }
 
+    /** Counts a run of a duty that ended by an error. */
+    public void dutyFailed() {
+        failedDuties.inc();
+    }
+
     /**
      * Records that an item got a place.
      *
--- /dev/null
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/duty/package-info.java
@@ -0,0 +1,5 @@
+/** Recurring work of an instance on its event loop. */
+@NullMarked
+package org.tanagermoor.gateway.duty;
+
+import org.jspecify.annotations.NullMarked;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/follow/TableFollower.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/follow/TableFollower.java
@@ -3,11 +3,15 @@
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.tanagermoor.gateway.GatewayEvent;
+import org.tanagermoor.gateway.duty.Duties;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.kernel.time.TimeSource;
@@ -43,6 +47,8 @@
 
     private final EventLoop loop;
 
+    private final Duties duties;
+
     private final EventLog events;
 
     private final TimeSource time;
@@ -53,6 +59,9 @@
     /** Receives the rows that have changed. */
     private final Consumer<List<ChangeFeed.Change>> listener;
 
+    /** The rows that are in the copy and that the listener could not take, by key. */
+    private final Map<String, ChangeFeed.Change> undelivered = new LinkedHashMap<>();
+
     /** Whether the last call failed. */
     private boolean storeUnavailable;
 
@@ -80,6 +89,7 @@
             FollowedTable table,
             ChangeFeed feed,
             EventLoop loop,
+            Duties duties,
             EventLog events,
             TimeSource time,
             LongSupplier minPause,
@@ -87,6 +97,7 @@
         this.table = table;
         this.feed = feed;
         this.loop = loop;
+        this.duties = duties;
         this.events = events;
         this.time = time;
         this.minPause = minPause;
@@ -102,6 +113,7 @@
      * @param table The local copy.
      * @param feed The store.
      * @param loop The event loop.
+     * @param duties Runs the calls so that an error does not end the following.
      * @param events The log.
      * @param time The source of the current time.
      * @param minPause Returns the minimum pause between two calls in milliseconds; 0 for none.
@@ -112,11 +124,12 @@
             FollowedTable table,
             ChangeFeed feed,
             EventLoop loop,
+            Duties duties,
             EventLog events,
             TimeSource time,
             LongSupplier minPause,
             Consumer<List<ChangeFeed.Change>> listener) {
-        return new TableFollower(table, feed, loop, events, time, minPause, listener);
+        return new TableFollower(table, feed, loop, duties, events, time, minPause, listener);
     }
 
     /** Starts to read the table and its changes. */
@@ -169,7 +182,7 @@
                 peer,
                 "changed",
                 changed.size());
-        listener.accept(changed);
+        deliver(changed);
     }
 
     /** Reads the table if there is no copy yet, else waits for changes. */
@@ -177,10 +190,13 @@
         if (stopped) {
             return;
         }
-        Mono<Either<Failure, ChangeFeed.Answer>> answer = table.revision() == 0
+        read(() -> table.revision() == 0
                 ? feed.snapshot(table.name())
-                : feed.changes(table.name(), table.revision(), storeUnavailable ? Duration.ZERO : WAIT);
-        answer.subscribe(result -> loop.execute(() -> handleAnswer(result)));
+                : feed.changes(table.name(), table.revision(), storeUnavailable ? Duration.ZERO : WAIT));
+    }
+
+    private void read(Supplier<Mono<Either<Failure, ChangeFeed.Answer>>> answer) {
+        duties.call(duty(), answer, this::handleAnswer, INITIAL_RETRY_MILLIS, this::call);
     }
 
     /** Handles the answer or the failure of a call. */
@@ -198,7 +214,7 @@
             events.record(GatewayEvent.STORE_REGAINED, "table", table.name(), "revision", table.revision());
         }
         switch (result.get()) {
-            case ChangeFeed.Answer.Snapshot copy -> listener.accept(table.replace(copy.rows(), copy.revision()));
+            case ChangeFeed.Answer.Snapshot copy -> deliver(table.replace(copy.rows(), copy.revision()));
             case ChangeFeed.Answer.Changes changes -> changed(changes);
             case ChangeFeed.Answer.HistoryLost lost -> {
                 events.record(GatewayEvent.HISTORY_LOST, "table", table.name(), "revision", table.revision());
@@ -223,14 +239,40 @@
     /** Applies changes to the copy, and passes on those that were not known. */
     private void changed(ChangeFeed.Answer.Changes changes) {
         List<ChangeFeed.Change> changed = table.apply(changes.rows(), changes.revision());
-        if (!changed.isEmpty()) {
-            listener.accept(changed);
+        if (!changed.isEmpty() || !undelivered.isEmpty()) {
+            deliver(changed);
+        }
+    }
+
+    /**
+     * Passes changed rows on to the listener, and those that it could not take before. If it fails, it gets them one by
+     * one, so that a row that it cannot take does not hold up the others.
+     */
+    private void deliver(List<ChangeFeed.Change> changed) {
+        changed.forEach(row -> {
+            undelivered.remove(row.key());
+            undelivered.put(row.key(), row);
+        });
+        List<ChangeFeed.Change> rows = List.copyOf(undelivered.values());
+        if (duties.run(duty(), () -> listener.accept(rows))) {
+            undelivered.clear();
+            return;
         }
+        for (ChangeFeed.Change row : rows) {
+            if (duties.run(duty(), () -> listener.accept(List.of(row)))) {
+                undelivered.remove(row.key());
+            }
+        }
+    }
+
+    /** Returns the name under which errors are logged. */
+    private String duty() {
+        return "follow " + table.name();
     }
 
     /** Reads the complete table after its history was lost. */
     private void reread() {
-        feed.snapshot(table.name()).subscribe(result -> loop.execute(() -> handleAnswer(result)));
+        read(() -> feed.snapshot(table.name()));
     }
 
     /** Records a failure, and calls again after a pause. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobContext.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobContext.java
@@ -7,6 +7,7 @@
 import org.tanagermoor.gateway.FleetState;
 import org.tanagermoor.gateway.GatewayMetrics;
 import org.tanagermoor.gateway.dispatch.DispatchClient;
+import org.tanagermoor.gateway.duty.Duties;
 import org.tanagermoor.gateway.forward.TargetConnections;
 import org.tanagermoor.gateway.quarantine.PartQuarantine;
 import org.tanagermoor.kernel.event.EventLog;
@@ -28,6 +29,7 @@
  * @param runs The items that wait for a place or have one, by permit.
  * @param pace Estimates how long items run.
  * @param answerBytes Tells how many bytes an output takes in an answer to a reader.
+ * @param duties Runs the steps of jobs so that an error does not end their repetition.
  * @param retention The time after its acceptance during which an ended job can be read.
  */
 public record JobContext(
@@ -44,6 +46,7 @@
         Map<Long, ItemRun> runs,
         ItemPace pace,
         ToIntFunction<String> answerBytes,
+        Duties duties,
         Duration retention) {
 
     /**
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
@@ -26,6 +26,12 @@
  */
 final class JobRun {
 
+    /** Name under which errors of jobs are logged. */
+    static final String DUTY = "job";
+
+    /** Pause after an error before a step is tried again, in milliseconds. */
+    private static final long ERROR_PAUSE_MILLIS = 300;
+
     /** Time for which results are collected for one commit, in milliseconds. */
     private static final long COMMIT_DELAY_MILLIS = 60;
 
@@ -139,11 +145,23 @@
         if (stopped) {
             return;
         }
-        Mono.zip(
-                        context.store().content(id()),
-                        context.store().recordedItems(job.row()),
-                        context.store().progress(id()))
-                .subscribe(read -> context.loop().execute(() -> resumed(read.getT1(), read.getT2(), read.getT3())));
+        context.duties()
+                .call(
+                        DUTY,
+                        () -> Mono.zip(
+                                context.store().content(id()),
+                                context.store().recordedItems(job.row()),
+                                context.store().progress(id())),
+                        read -> resumed(read.getT1(), read.getT2(), read.getT3()),
+                        ERROR_PAUSE_MILLIS,
+                        this::resumeUnlessLoaded);
+    }
+
+    /** Reads the job again after an error, unless its items may already run. */
+    private void resumeUnlessLoaded() {
+        if (!loaded) {
+            resume();
+        }
     }
 
     /** Loads what was read of a job that was taken over, or schedules another read after a failure. */
@@ -299,8 +317,13 @@
         }
     }
 
-    /** Writes unrecorded results and the progress of the other items, as much as one commit holds. */
+    /** Writes what is not recorded; again after an error. */
     private void write() {
+        context.duties().runOrRetry(DUTY, this::writeOnce, ERROR_PAUSE_MILLIS, this::write);
+    }
+
+    /** Writes unrecorded results and the progress of the other items, as much as one commit holds. */
+    private void writeOnce() {
         List<ItemProgress> progress = stopped ? List.of() : progress();
         if (stopped || (unrecorded.isEmpty() && progress.isEmpty() && !handingOver)) {
             writing = false;
@@ -319,9 +342,19 @@
                 .setTokensWaiting(Math.max(0, waiting))
                 .setOwner(lastWrite ? "" : job.row().getOwner())
                 .build();
-        context.store()
-                .write(job, contents, after)
-                .subscribe(written -> context.loop().execute(() -> written(contents, after, written)));
+        context.duties()
+                .call(
+                        DUTY,
+                        () -> context.store().write(job, contents, after),
+                        written -> written(contents, after, written),
+                        ERROR_PAUSE_MILLIS,
+                        this::writeAgain);
+    }
+
+    /** Writes again after an error, unless a write is in progress or scheduled. */
+    private void writeAgain() {
+        writing = false;
+        scheduleWrite(0);
     }
 
     /** Returns the unrecorded progress of items. */
@@ -375,7 +408,8 @@
         } else if (!unrecorded.isEmpty()) {
             scheduleWrite(0);
         }
-        askForPlaces();
+        // An error in it must not let a second write begin beside the scheduled one.
+        context.duties().run(DUTY, this::askForPlaces);
     }
 
     /** Writes again after a failure; less at once if the store does not take a commit of this size. */
@@ -428,9 +462,13 @@
     /** Reads which results are recorded, and drops those that this instance has not yet recorded itself. */
     private void readRecorded() {
         if (!stopped) {
-            context.store()
-                    .recordedItems(job.row())
-                    .subscribe(read -> context.loop().execute(() -> dropRecorded(read)));
+            context.duties()
+                    .call(
+                            DUTY,
+                            () -> context.store().recordedItems(job.row()),
+                            this::dropRecorded,
+                            ERROR_PAUSE_MILLIS,
+                            this::readRecorded);
         }
     }
 
@@ -440,7 +478,6 @@
             context.loop().schedule(this::readRecorded, readFailures.add(recorded.getLeft()), TimeUnit.MILLISECONDS);
             return;
         }
-        writing = false;
         readFailures.clear();
         Set<String> recordedItems = Set.copyOf(recorded.get());
         unrecorded.removeIf(waiting -> recordedItems.contains(waiting.item()));
@@ -450,6 +487,7 @@
                 item.stop();
             }
         }
+        writing = false;
         if (!unrecorded.isEmpty() || handingOver) {
             scheduleWrite(0);
         }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
@@ -123,9 +123,9 @@
      */
     public void tick(long now) {
         runs.values().removeIf(JobRun::stopped);
-        List.copyOf(runs.values()).forEach(run -> run.check(now));
+        forEachRun(run -> run.check(now));
         if (handingOver) {
-            runs.values().forEach(JobRun::handOver);
+            forEachRun(JobRun::handOver);
             handedOver = runs.isEmpty();
         }
         if (liveness.stopping()) {
@@ -137,7 +137,7 @@
                 takeOver(record);
             }
         }
-        List.copyOf(runs.values()).forEach(JobRun::askForPlaces);
+        forEachRun(JobRun::askForPlaces);
         retention.tick(
                 List.copyOf(jobs.values()),
                 job -> ranksFirst(job, now),
@@ -149,7 +149,12 @@
     public void handOver() {
         handingOver = true;
         handedOver = runs.isEmpty();
-        runs.values().forEach(JobRun::handOver);
+        forEachRun(JobRun::handOver);
+    }
+
+    /** Does something with each run of a job, also if that fails for another one. */
+    private void forEachRun(Consumer<JobRun> action) {
+        List.copyOf(runs.values()).forEach(run -> context.duties().run(JobRun.DUTY, () -> action.accept(run)));
     }
 
     /** Returns whether no job is left to be handed over in a planned stop. Safe for use by any thread. */
@@ -354,38 +359,38 @@
         }
         JobRow after =
                 record.row().toBuilder().setOwner(context.dispatch().self()).build();
-        context.store()
-                .write(record, List.of(), after)
-                .subscribe(result -> context.loop().execute(() -> {
-                    takingOver.remove(id);
-                    if (result.isLeft()) {
-                        context.events()
-                                .record(
-                                        GatewayEvent.JOB_WRITE_FAILED,
-                                        "job",
-                                        id,
-                                        "step",
-                                        "take-over",
-                                        "failure",
-                                        result.getLeft());
-                        return;
-                    }
-                    observe(result.get());
-                    if (result.get().row().getOwner().equals(context.dispatch().self())
-                            && result.get().open()
-                            && !runs.containsKey(id)) {
-                        context.events()
-                                .record(
-                                        GatewayEvent.JOB_TAKEN_OVER,
-                                        "job",
-                                        id,
-                                        "from",
-                                        record.row().getOwner(),
-                                        "version",
-                                        result.get().version());
-                        run(result.get()).resume();
-                    }
-                }));
+        context.duties()
+                .call(
+                        "take over",
+                        () -> context.store().write(record, List.of(), after),
+                        result -> takenOver(record, result),
+                        RETRY_DELAY_MILLIS,
+                        () -> takingOver.remove(id));
+    }
+
+    /** Resumes a job whose owner this instance has become, unless another one was quicker. */
+    private void takenOver(JobRecord before, Either<Failure, JobRecord> result) {
+        String id = before.row().getId();
+        takingOver.remove(id);
+        if (result.isLeft()) {
+            context.events()
+                    .record(GatewayEvent.JOB_WRITE_FAILED, "job", id, "step", "take-over", "failure", result.getLeft());
+            return;
+        }
+        JobRecord after = result.get();
+        observe(after);
+        if (after.row().getOwner().equals(context.dispatch().self()) && after.open() && !runs.containsKey(id)) {
+            context.events()
+                    .record(
+                            GatewayEvent.JOB_TAKEN_OVER,
+                            "job",
+                            id,
+                            "from",
+                            before.row().getOwner(),
+                            "version",
+                            after.version());
+            run(after).resume();
+        }
     }
 
     /** Returns the number of waiting tokens of a team on a route. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Gossip.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Gossip.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.tanagermoor.gateway.GatewayEvent;
+import org.tanagermoor.gateway.duty.Duties;
 import org.tanagermoor.gateway.follow.ChangeFeed;
 import org.tanagermoor.gateway.follow.TableFollower;
 import org.tanagermoor.gateway.proto.Signs;
@@ -147,14 +148,14 @@
         return gossip;
     }
 
-    /** Starts the periodic exchanges, the first ones with the addresses from the settings. */
-    public void start() {
+    /**
+     * Starts the periodic exchanges, the first ones with the addresses from the settings.
+     *
+     * @param duties Runs the exchanges so that an error does not end them.
+     */
+    public void start(Duties duties) {
         loop.execute(() -> seeds.forEach(this::exchange));
-        loop.scheduleAtFixedRate(
-                this::round,
-                ThreadLocalRandom.current().nextLong(INTERVAL_MILLIS),
-                INTERVAL_MILLIS,
-                TimeUnit.MILLISECONDS);
+        duties.every("gossip", ThreadLocalRandom.current().nextLong(INTERVAL_MILLIS), INTERVAL_MILLIS, this::round);
     }
 
     /** Sends what this instance knows to all running instances at once, for example that it is stopping. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/InstanceTable.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/InstanceTable.java
@@ -6,10 +6,12 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.tanagermoor.gateway.GatewayEvent;
+import org.tanagermoor.gateway.duty.Duties;
 import org.tanagermoor.gateway.proto.MemberSign;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.kernel.time.TimeSource;
+import org.tanagermoor.store.table.CommitResult;
 import org.tanagermoor.store.table.Row;
 import org.tanagermoor.store.table.RowKey;
 import org.tanagermoor.store.table.TableService;
@@ -23,6 +25,8 @@
 
     private static final String TABLE = "instances";
 
+    private static final String DUTY = "instance table";
+
     /** The delay before a failed call is repeated, in milliseconds. */
     private static final long RETRY_MILLIS = 500;
 
@@ -30,6 +34,8 @@
 
     private final EventLoop loop;
 
+    private final Duties duties;
+
     /** Receives the instances that were read, as candidates. */
     private final Liveness liveness;
 
@@ -41,10 +47,17 @@
     private final Runnable onRead;
 
     private InstanceTable(
-            TableService tables, EventLoop loop, Liveness liveness, EventLog events, TimeSource time, Runnable onRead) {
+            TableService tables,
+            EventLoop loop,
+            Duties duties,
+            Liveness liveness,
+            EventLog events,
+            TimeSource time,
+            Runnable onRead) {
         this.onRead = onRead;
         this.tables = tables;
         this.loop = loop;
+        this.duties = duties;
         this.liveness = liveness;
         this.events = events;
         this.time = time;
@@ -55,6 +68,7 @@
      *
      * @param tables The store.
      * @param loop The event loop.
+     * @param duties Runs the calls so that an error does not end their repetition.
      * @param liveness Receives the instances that were read, as candidates.
      * @param events The log.
      * @param time The source of the current time.
@@ -62,8 +76,14 @@
      * @return A table.
      */
     public static InstanceTable of(
-            TableService tables, EventLoop loop, Liveness liveness, EventLog events, TimeSource time, Runnable onRead) {
-        return new InstanceTable(tables, loop, liveness, events, time, onRead);
+            TableService tables,
+            EventLoop loop,
+            Duties duties,
+            Liveness liveness,
+            EventLog events,
+            TimeSource time,
+            Runnable onRead) {
+        return new InstanceTable(tables, loop, duties, liveness, events, time, onRead);
     }
 
     /** Writes the row of this instance, then reads those of the others; each call is repeated until it succeeds. */
@@ -76,24 +96,27 @@
         Instance self = liveness.self();
         byte[] value =
                 MemberCodec.toMessage(new Liveness.Heartbeat(self, 0, false)).toByteArray();
-        tables.commit(Transaction.EMPTY.withPut(RowKey.of(TABLE, self.id().name()), value))
-                .subscribe(result -> loop.execute(() -> {
-                    if (result.isLeft()) {
-                        events.record(
-                                GatewayEvent.STORE_LOST, "table", TABLE, "step", "write", "failure", result.getLeft());
-                    }
-                    if (result.isLeft() && result.getLeft().kind() != Failure.Kind.INVALID) {
-                        loop.schedule(this::write, RETRY_MILLIS, TimeUnit.MILLISECONDS);
-                    } else {
-                        // The others are found even if the store does not take the row of this instance.
-                        read();
-                    }
-                }));
+        Transaction transaction =
+                Transaction.EMPTY.withPut(RowKey.of(TABLE, self.id().name()), value);
+        duties.call(DUTY, () -> tables.commit(transaction), this::written, RETRY_MILLIS, this::write);
+    }
+
+    /** Reads the rows of the others after that of this instance was written. */
+    private void written(Either<Failure, CommitResult> result) {
+        if (result.isLeft()) {
+            events.record(GatewayEvent.STORE_LOST, "table", TABLE, "step", "write", "failure", result.getLeft());
+        }
+        if (result.isLeft() && result.getLeft().kind() != Failure.Kind.INVALID) {
+            loop.schedule(this::write, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            // The others are found even if the store does not take the row of this instance.
+            read();
+        }
     }
 
     /** Reads the rows of the others. */
     private void read() {
-        tables.scanAll(TABLE, "").subscribe(result -> loop.execute(() -> handleRows(result)));
+        duties.call(DUTY, () -> tables.scanAll(TABLE, ""), this::handleRows, RETRY_MILLIS, this::read);
     }
 
     /** Adds the instances that were read as candidates. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/quarantine/PartQuarantine.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/quarantine/PartQuarantine.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.tanagermoor.gateway.GatewayEvent;
+import org.tanagermoor.gateway.duty.Duties;
 import org.tanagermoor.gateway.proto.QuarantinedPart;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.time.TimeSource;
@@ -34,11 +35,16 @@
     private Runnable broadcast = () -> {};
 
     private PartQuarantine(
-            Quarantine quarantine, TableService tables, EventLoop loop, EventLog events, TimeSource time) {
+            Quarantine quarantine,
+            TableService tables,
+            EventLoop loop,
+            Duties duties,
+            EventLog events,
+            TimeSource time) {
         this.quarantine = quarantine;
         this.events = events;
         this.time = time;
-        table = new QuarantineTable(tables, loop, events, time, entry -> merge(entry, "store"));
+        table = new QuarantineTable(tables, loop, duties, events, time, entry -> merge(entry, "store"));
     }
 
     /**
@@ -47,12 +53,18 @@
      * @param quarantine The records, shared with the dispatcher of this instance.
      * @param tables The store.
      * @param loop The event loop.
+     * @param duties Runs the calls of the store so that an error does not end their repetition.
      * @param events The log.
      * @param time The source of the current time.
      */
     public static PartQuarantine of(
-            Quarantine quarantine, TableService tables, EventLoop loop, EventLog events, TimeSource time) {
-        return new PartQuarantine(quarantine, tables, loop, events, time);
+            Quarantine quarantine,
+            TableService tables,
+            EventLoop loop,
+            Duties duties,
+            EventLog events,
+            TimeSource time) {
+        return new PartQuarantine(quarantine, tables, loop, duties, events, time);
     }
 
     /** Reads the records from the store, and from now on sends new ones to the other instances. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/quarantine/QuarantineTable.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/quarantine/QuarantineTable.java
@@ -10,11 +10,13 @@
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.tanagermoor.gateway.GatewayEvent;
+import org.tanagermoor.gateway.duty.Duties;
 import org.tanagermoor.gateway.proto.QuarantinedPart;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.kernel.time.TimeSource;
 import org.tanagermoor.policy.quarantine.QuarantineEntry;
+import org.tanagermoor.store.table.CommitResult;
 import org.tanagermoor.store.table.Row;
 import org.tanagermoor.store.table.RowKey;
 import org.tanagermoor.store.table.TableService;
@@ -28,6 +30,8 @@
 
     private static final String TABLE = "quarantine";
 
+    private static final String DUTY = "quarantine table";
+
     /** The delay before a failed call is repeated, in milliseconds. */
     private static final long RETRY_MILLIS = 500;
 
@@ -35,6 +39,8 @@
 
     private final EventLoop loop;
 
+    private final Duties duties;
+
     private final EventLog events;
 
     private final TimeSource time;
@@ -49,9 +55,15 @@
     private boolean writing;
 
     QuarantineTable(
-            TableService tables, EventLoop loop, EventLog events, TimeSource time, Consumer<QuarantineEntry> onRead) {
+            TableService tables,
+            EventLoop loop,
+            Duties duties,
+            EventLog events,
+            TimeSource time,
+            Consumer<QuarantineEntry> onRead) {
         this.tables = tables;
         this.loop = loop;
+        this.duties = duties;
         this.events = events;
         this.time = time;
         this.onRead = onRead;
@@ -59,7 +71,7 @@
 
     /** Reads the records of all parts; repeated until it succeeds. */
     void read() {
-        tables.scanAll(TABLE, "").subscribe(result -> loop.execute(() -> handleRows(result)));
+        duties.call(DUTY, () -> tables.scanAll(TABLE, ""), this::handleRows, RETRY_MILLIS, this::read);
     }
 
     /** Writes the record of a part. */
@@ -87,21 +99,27 @@
             return;
         }
         Pending change = pending.values().iterator().next();
-        tables.commit(change.transaction(time))
-                .subscribe(result -> loop.execute(() -> {
-                    if (result.isLeft()) {
-                        events.record(
-                                GatewayEvent.STORE_LOST, "table", TABLE, "step", "write", "failure", result.getLeft());
-                        // A row that the store will never take must not hold up the others.
-                        if (result.getLeft().kind() == Failure.Kind.INVALID) {
-                            pending.remove(change.part, change);
-                        }
-                        loop.schedule(this::write, RETRY_MILLIS, TimeUnit.MILLISECONDS);
-                    } else {
-                        pending.remove(change.part, change);
-                        write();
-                    }
-                }));
+        duties.call(
+                DUTY,
+                () -> tables.commit(change.transaction(time)),
+                result -> written(change, result),
+                RETRY_MILLIS,
+                this::write);
+    }
+
+    /** Writes the next change, or after a failure the same one once more. */
+    private void written(Pending change, Either<Failure, CommitResult> result) {
+        if (result.isLeft()) {
+            events.record(GatewayEvent.STORE_LOST, "table", TABLE, "step", "write", "failure", result.getLeft());
+            // A row that the store will never take must not hold up the others.
+            if (result.getLeft().kind() == Failure.Kind.INVALID) {
+                pending.remove(change.part, change);
+            }
+            loop.schedule(this::write, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            pending.remove(change.part, change);
+            write();
+        }
     }
 
     private void handleRows(Either<Failure, List<Row>> result) {
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/follow/TableFollowerTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/follow/TableFollowerTest.java
@@ -2,17 +2,27 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasItems;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.tanagermoor.gateway.GatewayMetrics;
+import org.tanagermoor.gateway.duty.Duties;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.kernel.time.TimeSource;
@@ -37,6 +47,21 @@
     /** The time for which the last call waited for changes. */
     private Duration wait = Duration.ZERO;
 
+    /** What the listener, or the client of the store, throws. */
+    private Throwable error = new IllegalStateException();
+
+    /** The key of the row that the listener cannot take. */
+    private String untakeable = "";
+
+    /** The number of calls in which the client of the store will fail with the error. */
+    private int brokenCalls;
+
+    /** The changes in the store. */
+    private final List<ChangeFeed.Change> changes = new ArrayList<>();
+
+    /** The keys of the rows that the listener has taken. */
+    private final List<String> taken = new ArrayList<>();
+
     private TableFollower follower;
 
     /** Starts the follower, and lets it read the table. */
@@ -46,10 +71,16 @@
                 FollowedTable.of("targets"),
                 new Feed(),
                 channel.eventLoop(),
+                Duties.of(
+                        channel.eventLoop(),
+                        new EventLog.Disabled(),
+                        GatewayMetrics.of(new MetricRegistry()),
+                        new Clock(),
+                        () -> {}),
                 new EventLog.Disabled(),
                 new Clock(),
                 () -> 0,
-                rows -> {});
+                this::take);
         follower.start();
         advance(3_000);
     }
@@ -92,6 +123,58 @@
         assertThat(follower.recoveredAt() > before, is(forAll));
     }
 
+    /**
+     * An error of any kind, of the listener or of the store's client, ended the following for good and without a word.
+     * Rows that the listener could not take are passed on again, and others are not held up by them.
+     */
+    @ParameterizedTest
+    @ValueSource(classes = {IllegalStateException.class, StackOverflowError.class, OutOfMemoryError.class})
+    void followsOnAfterAnError(Class<? extends Throwable> type) throws ReflectiveOperationException {
+        error = type.getDeclaredConstructor().newInstance();
+        untakeable = "bad";
+        change("bad", "good");
+        advance(6_000);
+        assertThat(taken, hasItem("good"));
+        assertThat(taken, not(hasItem("bad")));
+        change("better");
+        advance(6_000);
+        assertThat(taken, hasItem("better"));
+        untakeable = "";
+        change("best");
+        advance(6_000);
+        assertThat(taken, hasItems("bad", "best"));
+        brokenCalls = 3;
+        change("last");
+        advance(6_000);
+        assertThat(brokenCalls, is(0));
+        assertThat(taken, hasItem("last"));
+        assertThat(Set.copyOf(taken), hasSize(taken.size()));
+    }
+
+    /** Changes rows in the store. */
+    private void change(String... keys) {
+        revision++;
+        for (String key : keys) {
+            changes.add(new ChangeFeed.Change(key, revision, new byte[0]));
+        }
+    }
+
+    /** Takes changed rows, unless one of them cannot be taken. */
+    private void take(List<ChangeFeed.Change> rows) {
+        if (rows.stream().anyMatch(row -> row.key().equals(untakeable))) {
+            fail();
+        }
+        rows.forEach(row -> taken.add(row.key()));
+    }
+
+    /** Throws the error. */
+    private void fail() {
+        if (error instanceof Error thrown) {
+            throw thrown;
+        }
+        throw (RuntimeException) error;
+    }
+
     /** Advances the time by the given milliseconds. */
     private void advance(long millis) {
         for (long passed = 0; passed < millis; passed += 10) {
@@ -114,7 +197,13 @@
         @Override
         public Mono<Either<Failure, Answer>> changes(String table, long after, Duration longest) {
             wait = longest;
-            return answer(new Answer.Changes(List.of(), revision), longest.plusMillis(4));
+            if (brokenCalls > 0) {
+                brokenCalls--;
+                fail();
+            }
+            List<Change> rows =
+                    changes.stream().filter(row -> row.version() > after).toList();
+            return answer(new Answer.Changes(rows, revision), longest.plusMillis(4));
         }
 
         /** Answers after a delay, or fails after 1 ms. */
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.nullValue;
 
 import com.codahale.metrics.MetricRegistry;
@@ -40,6 +41,7 @@
 import org.tanagermoor.gateway.dispatch.DispatchClient;
 import org.tanagermoor.gateway.dispatch.DispatchServer;
 import org.tanagermoor.gateway.dispatch.TeamRates;
+import org.tanagermoor.gateway.duty.Duties;
 import org.tanagermoor.gateway.edge.CallHead;
 import org.tanagermoor.gateway.fleet.Backend;
 import org.tanagermoor.gateway.fleet.CallerLimits;
@@ -62,6 +64,7 @@
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.event.EventRecord;
 import org.tanagermoor.kernel.event.EventType;
+import org.tanagermoor.kernel.event.KernelEvent;
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.kernel.setting.Address;
 import org.tanagermoor.kernel.time.HybridClock;
@@ -141,6 +144,9 @@
     /** The time that a scan of the store takes, in milliseconds. */
     private long scanDelayMillis;
 
+    /** The kind of the calls of the store that throw an error; empty for none. */
+    private String errorWhen = "";
+
     /** Whether the store fails to delete objects. */
     private boolean deletionFails;
 
@@ -185,6 +191,8 @@
 
     /** Lets the instance forget all jobs, and sets the retention of jobs. */
     private void createJobs(Duration retention) {
+        GatewayMetrics metrics = GatewayMetrics.of(new MetricRegistry());
+        Duties duties = Duties.of(channel.eventLoop(), log, metrics, time, () -> {});
         context = new JobContext(
                 channel.eventLoop(),
                 fleet,
@@ -192,13 +200,14 @@
                 TargetConnections.of(channel.eventLoop(), new Protocol(), time, target -> {}),
                 store,
                 log,
-                GatewayMetrics.of(new MetricRegistry()),
+                metrics,
                 time,
-                PartQuarantine.of(Quarantine.of(), TableService.InMemory.of(), channel.eventLoop(), log, time),
+                PartQuarantine.of(Quarantine.of(), TableService.InMemory.of(), channel.eventLoop(), duties, log, time),
                 "lisbon",
                 new HashMap<>(),
                 ItemPace.of(),
                 String::length,
+                duties,
                 retention);
         jobs = Jobs.of(context, liveness, () -> true);
     }
@@ -417,6 +426,38 @@
         assertThat(this.recorded.get(GatewayEvent.REQUEST_PLACED), hasItem("0"));
     }
 
+    /**
+     * An error while the results of a job are written, or while a job is taken over, ended that for good. So did one in
+     * any job the checks of all others.
+     *
+     * @param when The kind of call of the store that throws an error.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"commit", "scan"})
+    void goesOnWithAJobAfterAnError(String when) {
+        server.dispatcher().targets(List.of(), service -> 0, now);
+        JobRecord job = recordJob(
+                List.of(
+                        JobItem.newBuilder().setId("0").setPath("/batch/j").build(),
+                        JobItem.newBuilder().setId("1").setPath("/batch/j").build()),
+                "one");
+        submit("k", 1);
+        errorWhen = when;
+        advance(3_000);
+        assertThat(this.recorded.containsKey(GatewayEvent.JOB_RESUMED), is(false));
+        assertThat(this.recorded.get(KernelEvent.DUTY_DEFECT).size(), is(lessThanOrEqualTo(3)));
+        errorWhen = "";
+        advance(3_000);
+        assertThat(this.recorded.get(GatewayEvent.JOB_RESUMED), contains("j"));
+        errorWhen = when;
+        advance(ABANDON_MILLIS);
+        errorWhen = "";
+        advance(3_000);
+        assertThat(store.read("j").block().get().get().row().getRecorded(), is(2));
+        assertThat(store.read("k").block().get().get().row().getRecorded(), is(1));
+        assertThat(job.row().getRecorded(), is(1));
+    }
+
     /** Stores a job of an instance that is gone, whose items but the last have been recorded with an output. */
     private JobRecord recordJob(List<JobItem> items, String output) {
         JobRow row = JobRow.newBuilder()
@@ -489,6 +530,7 @@
         /** {@inheritDoc} */
         @Override
         public Mono<Either<Failure, RowPage>> scan(String table, String prefix, String after, int limit) {
+            throwIf("scan");
             Mono<Either<Failure, RowPage>> page = tables.scan(table, prefix, after, limit);
             return scanDelayMillis == 0
                     ? page
@@ -499,6 +541,7 @@
         /** {@inheritDoc} */
         @Override
         public Mono<Either<Failure, CommitResult>> commit(Transaction transaction) {
+            throwIf("commit");
             if (commitsFail) {
                 return Mono.just(Either.left(
                         Failure.notRun(Failure.Kind.UNAVAILABLE, "store.commit", ADDRESS.toString(), "away")));
@@ -509,6 +552,13 @@
                     : tables.commit(transaction);
         }
 
+        /** Throws an error if calls of this kind do. */
+        private void throwIf(String kind) {
+            if (errorWhen.equals(kind)) {
+                throw new StackOverflowError("as in a test");
+            }
+        }
+
         /** Returns whether a transaction exceeds a limit of the store, which counts encoded bytes. */
         private boolean tooLarge(Transaction transaction) {
             long bytes = 0;
