Let a log that fails end no duty, and write the last line before the end

While an error was handled, only an OutOfMemoryError of the log was caught, so that any other one left the duty and ended it.

Change: what the log or the counter throws is handled like the error itself, and the process waits for 200 ms before it ends.

DutiesTest (19) passes. The wait has no test.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 import org.tanagermoor.gateway.dispatch.DispatchClient;
 import org.tanagermoor.gateway.dispatch.DispatchServer;
@@ -67,6 +68,9 @@
     /** How long the last answer about the job table counts as current, in nanoseconds. */
     private static final long JOB_STATE_FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
+    /** The time that the log gets to be written before the process ends, in nanoseconds. */
+    private static final long LOG_WRITE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
     private final EventLoop loop;
 
     private final EventLog events;
@@ -113,8 +117,7 @@
         events = context.events();
         time = context.time();
         GatewayMetrics metrics = GatewayMetrics.of(context.metrics());
-        duties = Duties.of(
-                loop, events, metrics, time, () -> Runtime.getRuntime().halt(Duties.EXIT_EXHAUSTED));
+        duties = Duties.of(loop, events, metrics, time, Gateway::endProcess);
         PeerLink link = context.service(PeerLink.class);
         Instance self = self(context, link);
         String domain = self.domain();
@@ -264,6 +267,12 @@
         return edge.drained() && jobs.handedOver();
     }
 
+    /** Ends the process at once, since an orderly stop would need what the process lacks. */
+    private static void endProcess() {
+        LockSupport.parkNanos(LOG_WRITE_NANOS);
+        Runtime.getRuntime().halt(Duties.EXIT_EXHAUSTED);
+    }
+
     /** Runs the periodic checks of all components, each also if that of another one fails. */
     private void tick() {
         long now = time.nanos();
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/duty/Duties.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/duty/Duties.java
@@ -163,15 +163,16 @@
     }
 
     /** Counts and logs an error, and ends the process if no duty has been done for long. */
+    @SuppressWarnings({"CatchingUnchecked", "PMD.AvoidCatchingThrowable"})
     private void failed(String duty, Throwable error) {
         errors++;
-        boolean exhausted = error instanceof VirtualMachineError && !(error instanceof StackOverflowError);
+        boolean exhausted = exhausts(error);
         try {
             metrics.dutyFailed();
             log(duty, error);
-        } catch (OutOfMemoryError secondError) {
-            // The error is counted above; there is no memory to tell more.
-            exhausted = true;
+        } catch (Throwable secondError) {
+            // There may be no memory, or no stack, to tell more; nothing else may end the duty.
+            exhausted |= exhausts(secondError);
         }
         if (exhausted) {
             long now = time.nanos();
@@ -183,6 +184,11 @@
         }
     }
 
+    /** Returns whether an error says that the virtual machine as a whole lacks something. */
+    private static boolean exhausts(Throwable error) {
+        return error instanceof VirtualMachineError && !(error instanceof StackOverflowError);
+    }
+
     /** Logs an error if its kind has not been logged. */
     private void log(String duty, Throwable error) {
         StackTraceElement[] frames = error.getStackTrace();
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/duty/DutiesTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/duty/DutiesTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -43,6 +44,10 @@
     /** Current time in nanoseconds. */
     private long now = TimeUnit.SECONDS.toNanos(100);
 
+    /** What the log throws; {@code null} if it works. */
+    @Nullable
+    private Error logError;
+
     /** How often the process was ended. */
     private int ends;
 
@@ -125,6 +130,20 @@
                 is(expected));
     }
 
+    /** A log that fails as well must not end the duty. */
+    @Test
+    void goesOnIfTheLogFails() {
+        logError = new OutOfMemoryError("as in a test");
+        List<String> done = new ArrayList<>();
+        duties.every("d", INTERVAL_MILLIS, INTERVAL_MILLIS, () -> {
+            done.add("d");
+            throwNew(IllegalStateException.class);
+        });
+        advance(2 * INTERVAL_MILLIS);
+        assertThat(done, hasSize(2));
+        assertThat(registry.counter("duties.failed").getCount(), is(2L));
+    }
+
     /** An error in one part keeps neither the following parts nor the duty from being done. */
     @Test
     void runsThePartsAfterAnError() {
@@ -216,6 +235,9 @@
         /** {@inheritDoc} */
         @Override
         public void record(EventType type, Object... fields) {
+            if (logError != null) {
+                throw logError;
+            }
             StringBuilder line = new StringBuilder(type.toString());
             for (Object field : fields) {
                 line.append(' ').append(Objects.toString(field));
