Grant places in a loop, not in nested calls

Cause: Dispatcher.drain tells a holder of its place, and a holder that returns the place in that call (ItemRun.run, if its target is gone) lets the dispatcher drain the same queue again inside it, once for each queued ask.

Change: a drain that is called for while one of the same queue is in progress lets that one run once more.

Evidence: DispatcherTest.decidesOnManyAsksOnASmallStack (3,000 items of jobs that return their places at once, stack of 256 KB) failed before with a StackOverflowError. A first draft of the test also queued 3,000 online requests; they are refused as overload long before, so that case tested nothing and is not in it.

Reads and deletions of many pages (JobStore) were suspected too: the 100 pages of the largest job pass on such a stack if each page comes from a task of its own, as from an instance's store (JobsTest.readsAndDeletesManyPagesOnASmallStack, also before this change).

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -56,6 +56,12 @@
     /** Whether items of jobs are granted no places, because not all places in use are known. */
     private boolean batchPaused;
 
+    /** The queues whose asks are being granted places. */
+    private final Set<ServiceQueue> draining = new HashSet<>();
+
+    /** The queues in which a place may have become free meanwhile. */
+    private final Set<ServiceQueue> drainAgain = new HashSet<>();
+
     /** Receives the decisions on queued asks, and the recalls. */
     private final Sink sink;
 
@@ -354,8 +360,26 @@
                 : position * queue.occupancyNanos() / (queue.usablePlaces(now) + 1);
     }
 
-    /** Grants free places: to online requests that can be on time, then to late ones, then to items of jobs. */
+    /**
+     * Grants free places. A place that is returned in the course of it does not call this again, but lets it run once
+     * more: the depth of the calls must not grow with the number of asks.
+     */
     private void drain(ServiceQueue queue, long now) {
+        drainAgain.add(queue);
+        if (!draining.add(queue)) {
+            return;
+        }
+        try {
+            while (drainAgain.remove(queue)) {
+                drainOnce(queue, now);
+            }
+        } finally {
+            draining.remove(queue);
+        }
+    }
+
+    /** Grants free places: to online requests that can be on time, then to late ones, then to items of jobs. */
+    private void drainOnce(ServiceQueue queue, long now) {
         while (!queue.online().isEmpty()) {
             ServiceQueue.Waiting next = queue.nextOnline(now);
             if (refuseHeldBack(queue.online(), next, now)) {
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherFixture.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherFixture.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.kernel.setting.Address;
@@ -28,6 +29,9 @@
     /** The decisions on queued asks, by permit. */
     final Map<Long, PlacementDecision> decisions = new HashMap<>();
 
+    /** What the holders do at the decision on a queued ask. */
+    Consumer<Ask> onDecision = ask -> {};
+
     /** The recalled permits in the order of the recalls. */
     final List<Long> recalled = new ArrayList<>();
 
@@ -63,6 +67,7 @@
                     public void decided(Ask ask, PlacementDecision decision) {
                         decidedPermits.add(Long.toString(ask.permit()));
                         decisions.put(ask.permit(), decision);
+                        onDecision.accept(ask);
                     }
 
                     /** {@inheritDoc} */
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherTest.java
@@ -5,9 +5,11 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.nullValue;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -16,6 +18,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -48,6 +51,37 @@
         }
     }
 
+    /**
+     * Places that are returned in the course of the decision, since the target cannot be used any more, go to the next
+     * asks without calls that are nested once for each ask.
+     */
+    @Test
+    void decidesOnManyAsksOnASmallStack() throws InterruptedException {
+        fill();
+        List<String> asked = new ArrayList<>();
+        for (long permit = 10; permit < 3_010; permit++) {
+            assertThat(dispatcher.ask(ask(permit, true, 1_000_000_000, ""), now), is(Optional.empty()));
+            asked.add(Long.toString(permit));
+        }
+        onDecision = ask -> release(ask.permit(), PlaceOutcome.UNUSED);
+        AtomicReference<Throwable> error = new AtomicReference<>();
+        Thread thread = new Thread(
+                null,
+                () -> {
+                    for (long permit = 1; permit <= 4; permit++) {
+                        release(permit, PlaceOutcome.SERVED);
+                    }
+                },
+                "small-stack",
+                256 * 1024);
+        thread.setUncaughtExceptionHandler((failed, thrown) -> error.set(thrown));
+        thread.start();
+        thread.join();
+        assertThat(error.get(), is(nullValue()));
+        assertThat(Set.copyOf(decidedPermits), is(Set.copyOf(asked)));
+        assertThat(decidedPermits, hasSize(asked.size()));
+    }
+
     /** Among queued requests, one that can still be on time is served before one that is already late. */
     @Test
     void servesThoseThatCanBeOnTimeFirst() {
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -262,12 +262,7 @@
     void abandonsAllItemsOnASmallStack(int items) throws InterruptedException {
         server.dispatcher().targets(List.of(), service -> 0, now);
         submit(items);
-        AtomicReference<Throwable> error = new AtomicReference<>();
-        Thread thread = new Thread(null, () -> advance(ABANDON_MILLIS + 5_000), "small-stack", STACK_BYTES);
-        thread.setUncaughtExceptionHandler((failed, thrown) -> error.set(thrown));
-        thread.start();
-        thread.join();
-        assertThat(error.get(), is(nullValue()));
+        runOnASmallStack(() -> advance(ABANDON_MILLIS + 5_000));
         assertThat(recorded.get(GatewayEvent.ITEM_ABANDONED), hasSize(items));
         assertThat(Set.copyOf(recorded.get(GatewayEvent.ITEM_ABANDONED)), hasSize(items));
         assertThat(store.read("j").block().get().get().row().getRecorded(), is(items));
@@ -409,6 +404,42 @@
         assertThat(results.stream().map(JobResult::output).distinct().toList(), is(List.of(output)));
     }
 
+    /**
+     * As many pages of results as the largest job has are read one after the other, then deleted, on a stack as small
+     * as that of an instance. Each page comes from a task of its own, as from the store of an instance.
+     */
+    @Test
+    void readsAndDeletesManyPagesOnASmallStack() throws InterruptedException {
+        int results = 48 * 100;
+        JobRow row = JobRow.newBuilder()
+                .setId("j")
+                .setOwner("gone~7")
+                .setTotal(results)
+                .build();
+        JobRecord job =
+                store.accept(row, JobContent.getDefaultInstance()).block().get();
+        while (job.row().getRecorded() < results) {
+            int from = job.row().getRecorded();
+            List<JobResult> some = IntStream.range(from, from + 48)
+                    .mapToObj(item -> new JobResult(Integer.toString(item), true, "one"))
+                    .toList();
+            job = store.write(job, some, row.toBuilder().setRecorded(from + 48).build())
+                    .block()
+                    .get();
+        }
+        JobRecord recordedJob = job;
+        scanDelayMillis = 10;
+        List<Object> done = new ArrayList<>();
+        runOnASmallStack(() -> {
+            store.recordedItems(recordedJob.row())
+                    .subscribe(read -> done.add(read.get().size()));
+            advanceLoop(20_000);
+            store.delete(recordedJob).subscribe(deleted -> done.add(deleted.isRight()));
+            advanceLoop(20_000);
+        });
+        assertThat(done, contains(results, true));
+    }
+
     /** A job that can never be resumed was read again and again without a word of its cause; others are not affected. */
     @Test
     void reportsOnceWhyAJobCannotBeResumed() {
@@ -503,6 +534,24 @@
         channel.runPendingTasks();
     }
 
+    /** Runs an action on a thread with a stack as small as that of an instance. */
+    private static void runOnASmallStack(Runnable action) throws InterruptedException {
+        AtomicReference<Throwable> error = new AtomicReference<>();
+        Thread thread = new Thread(null, action, "small-stack", STACK_BYTES);
+        thread.setUncaughtExceptionHandler((failed, thrown) -> error.set(thrown));
+        thread.start();
+        thread.join();
+        assertThat(error.get(), is(nullValue()));
+    }
+
+    /** Advances the clock of the event loop alone by a time in milliseconds. */
+    private void advanceLoop(long millis) {
+        for (long elapsed = 0; elapsed < millis; elapsed += 10) {
+            channel.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+            channel.runPendingTasks();
+        }
+    }
+
     /** Advances the clock by a time in milliseconds, and runs what becomes due. */
     private void advance(long millis) {
         for (long elapsed = 0; elapsed < millis; elapsed += 10) {
