--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
@@ -115,7 +115,10 @@
     ITEM_HELD_BACK(2236, Level.INFO, "an item waits because a part of its prompt is held back"),
 
     /** A target sent an answer that names another request or none, and it was not passed on. */
-    ANSWER_SKIPPED(2237, Level.INFO, "an answer that belongs to no current request was skipped");
+    ANSWER_SKIPPED(2237, Level.INFO, "an answer that belongs to no current request was skipped"),
+
+    /** No duty was done for long because the virtual machine lacks memory; the process ends, and others take over. */
+    DUTIES_EXHAUSTED(2245, Level.ERROR, "this instance ends because it cannot do its duties");
 
     private final Entry entry;
 
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -9,6 +9,7 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.nullValue;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -28,6 +29,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -40,6 +42,7 @@
 import org.tanagermoor.gateway.dispatch.DispatchClient;
 import org.tanagermoor.gateway.dispatch.DispatchServer;
 import org.tanagermoor.gateway.dispatch.TeamRates;
+import org.tanagermoor.gateway.duty.Duties;
 import org.tanagermoor.gateway.edge.CallHead;
 import org.tanagermoor.gateway.edge.CallerRequest;
 import org.tanagermoor.gateway.fleet.Backend;
@@ -64,6 +67,7 @@
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.event.EventRecord;
 import org.tanagermoor.kernel.event.EventType;
+import org.tanagermoor.kernel.event.KernelEvent;
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.kernel.setting.Address;
 import org.tanagermoor.kernel.time.HybridClock;
@@ -94,6 +98,9 @@
     /** Time after which items are abandoned, in milliseconds. */
     private static final long ABANDON_MILLIS = 60_000;
 
+    /** Size of the stack of a thread of an instance, in bytes. */
+    private static final long STACK_BYTES = 256 * 1024;
+
     /** Times for which jobs can be read: one longer than items run, and one shorter. */
     private static final List<Duration> RETENTIONS = List.of(Duration.ofSeconds(120), Duration.ofSeconds(5));
 
@@ -146,6 +153,9 @@
     /** The time that a scan of the store takes, in milliseconds. */
     private long scanDelayMillis;
 
+    /** The kind of the calls of the store that throw an error; empty for none. */
+    private String errorWhen = "";
+
     /** Whether the store fails to delete objects. */
     private boolean deletionFails;
 
@@ -190,6 +200,8 @@
 
     /** Lets the instance forget all jobs, and sets the retention of jobs. */
     private void createJobs(Duration retention) {
+        GatewayMetrics metrics = GatewayMetrics.of(new MetricRegistry());
+        Duties duties = Duties.of(channel.eventLoop(), log, metrics, time, () -> {});
         context = new JobContext(
                 channel.eventLoop(),
                 fleet,
@@ -197,13 +209,14 @@
                 TargetConnections.of(channel.eventLoop(), new Protocol(), time, TargetObserver.Disabled.INSTANCE),
                 store,
                 log,
-                GatewayMetrics.of(new MetricRegistry()),
+                metrics,
                 time,
-                PartQuarantine.of(Quarantine.of(), TableService.InMemory.of(), channel.eventLoop(), log, time),
+                PartQuarantine.of(Quarantine.of(), TableService.InMemory.of(), channel.eventLoop(), duties, log, time),
                 "lisbon",
                 new HashMap<>(),
                 ItemPace.of(),
                 String::length,
+                duties,
                 retention);
         jobs = Jobs.of(context, liveness, () -> true);
     }
@@ -249,6 +262,21 @@
         assertThat(store.read("j").block().get().get().row().getRecorded(), is(5));
     }
 
+    /**
+     * All items of a job are given up at once on a thread with a stack as small as that of an instance, however many
+     * there are. The calls were nested once for each item.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {100, 200, 3_000})
+    void abandonsAllItemsOnASmallStack(int items) throws InterruptedException {
+        server.dispatcher().targets(List.of(), service -> 0, now);
+        submit(items);
+        runOnASmallStack(() -> advance(ABANDON_MILLIS + 5_000));
+        assertThat(recorded.get(GatewayEvent.ITEM_ABANDONED), hasSize(items));
+        assertThat(Set.copyOf(recorded.get(GatewayEvent.ITEM_ABANDONED)), hasSize(items));
+        assertThat(store.read("j").block().get().get().row().getRecorded(), is(items));
+    }
+
     /**
      * A job is kept for its retention and while it is open. Then everything that is stored for it is deleted once, also
      * when the store fails for a while.
@@ -360,6 +388,42 @@
         recordAfterAnOutage(24, text.repeat(characters / text.length()));
     }
 
+    /**
+     * As many pages of results as the largest job has are read one after the other, then deleted, on a stack as small
+     * as that of an instance. Each page comes from a task of its own, as from the store of an instance.
+     */
+    @Test
+    void readsAndDeletesManyPagesOnASmallStack() throws InterruptedException {
+        int results = 48 * 100;
+        JobRow row = JobRow.newBuilder()
+                .setId("j")
+                .setOwner("gone~7")
+                .setTotal(results)
+                .build();
+        JobRecord job =
+                store.accept(row, JobContent.getDefaultInstance()).block().get();
+        while (job.row().getRecorded() < results) {
+            int from = job.row().getRecorded();
+            List<JobResult> some = IntStream.range(from, from + 48)
+                    .mapToObj(item -> new JobResult(Integer.toString(item), true, "one"))
+                    .toList();
+            job = store.write(job, some, row.toBuilder().setRecorded(from + 48).build())
+                    .block()
+                    .get();
+        }
+        JobRecord recordedJob = job;
+        scanDelayMillis = 10;
+        List<Object> done = new ArrayList<>();
+        runOnASmallStack(() -> {
+            store.recordedItems(recordedJob.row())
+                    .subscribe(read -> done.add(read.get().size()));
+            advanceLoop(20_000);
+            store.delete(recordedJob).subscribe(deleted -> done.add(deleted.isRight()));
+            advanceLoop(20_000);
+        });
+        assertThat(done, contains(results, true));
+    }
+
     /** A job that can never be resumed was read again and again without a word of its cause; others are not affected. */
     @Test
     void reportsOnceWhyAJobCannotBeResumed() {
@@ -477,6 +541,38 @@
         assertThat(results.stream().map(JobResult::item).distinct().count(), is((long) count));
     }
 
+    /**
+     * An error while the results of a job are written, or while a job is taken over, ended that for good. So did one in
+     * any job the checks of all others.
+     *
+     * @param when The kind of call of the store that throws an error.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"commit", "scan"})
+    void goesOnWithAJobAfterAnError(String when) {
+        server.dispatcher().targets(List.of(), service -> 0, now);
+        JobRecord job = recordJob(
+                List.of(
+                        JobItem.newBuilder().setId("0").setPath("/batch/j").build(),
+                        JobItem.newBuilder().setId("1").setPath("/batch/j").build()),
+                "one");
+        submit("k", 1);
+        errorWhen = when;
+        advance(3_000);
+        assertThat(this.recorded.containsKey(GatewayEvent.JOB_RESUMED), is(false));
+        assertThat(this.recorded.get(KernelEvent.DUTY_DEFECT).size(), is(lessThanOrEqualTo(3)));
+        errorWhen = "";
+        advance(3_000);
+        assertThat(this.recorded.get(GatewayEvent.JOB_RESUMED), contains("j"));
+        errorWhen = when;
+        advance(ABANDON_MILLIS);
+        errorWhen = "";
+        advance(3_000);
+        assertThat(store.read("j").block().get().get().row().getRecorded(), is(2));
+        assertThat(store.read("k").block().get().get().row().getRecorded(), is(1));
+        assertThat(job.row().getRecorded(), is(1));
+    }
+
     /** Stores a job of an instance that is gone, whose items but the last have been recorded with an output. */
     private JobRecord recordJob(List<JobItem> items, String output) {
         JobRow row = JobRow.newBuilder()
@@ -522,6 +618,24 @@
         channel.runPendingTasks();
     }
 
+    /** Runs an action on a thread with a stack as small as that of an instance. */
+    private static void runOnASmallStack(Runnable action) throws InterruptedException {
+        AtomicReference<Throwable> error = new AtomicReference<>();
+        Thread thread = new Thread(null, action, "small-stack", STACK_BYTES);
+        thread.setUncaughtExceptionHandler((failed, thrown) -> error.set(thrown));
+        thread.start();
+        thread.join();
+        assertThat(error.get(), is(nullValue()));
+    }
+
+    /** Advances the clock of the event loop alone by a time in milliseconds. */
+    private void advanceLoop(long millis) {
+        for (long elapsed = 0; elapsed < millis; elapsed += 10) {
+            channel.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+            channel.runPendingTasks();
+        }
+    }
+
     /** Advances the clock by a time in milliseconds, and runs what becomes due. */
     private void advance(long millis) {
         for (long elapsed = 0; elapsed < millis; elapsed += 10) {
@@ -549,6 +663,7 @@
         /** {@inheritDoc} */
         @Override
         public Mono<Either<Failure, RowPage>> scan(String table, String prefix, String after, int limit) {
+            throwIf("scan");
             Mono<Either<Failure, RowPage>> page = tables.scan(table, prefix, after, limit);
             return scanDelayMillis == 0
                     ? page
@@ -559,6 +674,7 @@
         /** {@inheritDoc} */
         @Override
         public Mono<Either<Failure, CommitResult>> commit(Transaction transaction) {
+            throwIf("commit");
             if (commitsFail) {
                 failedCommits++;
                 return Mono.just(
@@ -570,6 +686,13 @@
                     : tables.commit(transaction);
         }
 
+        /** Throws an error if calls of this kind do. */
+        private void throwIf(String kind) {
+            if (errorWhen.equals(kind)) {
+                throw new StackOverflowError("as in a test");
+            }
+        }
+
         /** Returns whether a transaction exceeds a limit of the store, which counts encoded bytes. */
         private boolean tooLarge(Transaction transaction) {
             long bytes = 0;
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/member/InstanceTableTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/member/InstanceTableTest.java
@@ -8,6 +8,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.vavr.control.Either;
 import java.util.ArrayList;
@@ -20,6 +21,8 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagermoor.gateway.GatewayEvent;
+import org.tanagermoor.gateway.GatewayMetrics;
+import org.tanagermoor.gateway.duty.Duties;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.event.EventRecord;
 import org.tanagermoor.kernel.event.EventType;
@@ -72,6 +75,7 @@
     private final InstanceTable table = InstanceTable.of(
             new FailingTables(),
             channel.eventLoop(),
+            Duties.of(channel.eventLoop(), new Log(), GatewayMetrics.of(new MetricRegistry()), time, () -> {}),
             liveness,
             new Log(),
             time,
