Admit on each side of a cut only the part of a rate that belongs to it

Cause: an instance that considers itself the dispatcher admitted the whole of each rate. Which instance that is follows from what each one hears, so a cut makes two of them. A count of the instances still heard was ruled out: both sides are wrong until they notice the silence, up to 4.6 s, and the rule gives no time to notice.

Each instance now has an equal share of all rates, and an instance admits what its shares make up (RateShares, RateAllocation). A share is lent to the dispatcher that is asked, by returning the stamp of its last answer. The dispatcher counts the lease from the stamp and the lender from its later receipt, so no delay of a message lets two use one share. Shares of instances that have ended are distributed among the others when claims in the control store show that nobody uses them (ShareTable).

The survivor cannot tell a lost dispatcher from one that is cut off, and both would then exceed the rule.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.function.LongSupplier;
 import org.tanagermoor.gateway.dispatch.DispatchClient;
 import org.tanagermoor.gateway.dispatch.DispatchServer;
+import org.tanagermoor.gateway.dispatch.ShareTable;
 import org.tanagermoor.gateway.dispatch.TeamRates;
 import org.tanagermoor.gateway.edge.CallContext;
 import org.tanagermoor.gateway.edge.CallerDeadlines;
@@ -46,6 +47,9 @@
     /** The interval of periodic checks in milliseconds. */
     private static final long TICK_INTERVAL_MILLIS = 250;
 
+    /** The interval at which the age of the loan of this instance's share of the rates is checked, in milliseconds. */
+    private static final long LOAN_INTERVAL_MILLIS = 100;
+
     /** The interval at which all places in use are reported to the dispatcher, in milliseconds. */
     private static final long REPORT_INTERVAL_MILLIS = 2_000;
 
@@ -91,6 +95,9 @@
     /** Assigns places to requests of this and other instances. */
     private final DispatchServer dispatchServer;
 
+    /** Claims the shares of the rates in the control store while some are missing. */
+    private final ShareTable shareTable;
+
     /** Asks the dispatcher for places. */
     private final DispatchClient dispatchClient;
 
@@ -123,7 +130,8 @@
         Quarantine parts = Quarantine.of();
         quarantine = PartQuarantine.of(parts, tables, loop, events, time);
         dispatchServer = DispatchServer.of(loop, link, liveness, time, rates, parts);
-        dispatchClient = DispatchClient.of(loop, link, liveness, dispatchServer, rates, events, time);
+        shareTable = ShareTable.of(tables, loop, dispatchServer, self.id().name(), events, time);
+        dispatchClient = DispatchClient.of(loop, link, liveness, dispatchServer, events, time);
         connections = TargetConnections.of(
                 loop,
                 context.service(TargetProtocol.class),
@@ -209,6 +217,7 @@
         gossip.start();
         every(TICK_INTERVAL_MILLIS, this::tick);
         every(REPORT_INTERVAL_MILLIS, dispatchClient::reportAll);
+        every(LOAN_INTERVAL_MILLIS, dispatchClient::renewLoan);
         addresses.forEach(address -> edge.listen(group, address));
     }
 
@@ -289,6 +298,7 @@
         fleet.tick(now);
         dispatchClient.tick(now);
         dispatchServer.tick(now);
+        shareTable.tick(now);
         quarantine.tick(liveness.dispatcher(now).id().equals(liveness.self().id()), now);
         jobs.tick(now);
     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
@@ -112,7 +112,10 @@
     PART_FORGOTTEN(2235, Level.INFO, "the record of a part of prompts was dropped for its age"),
 
     /** The item runs when the part is released, unless the time for its job is over before. */
-    ITEM_HELD_BACK(2236, Level.INFO, "an item waits because a part of its prompt is held back");
+    ITEM_HELD_BACK(2236, Level.INFO, "an item waits because a part of its prompt is held back"),
+
+    /** Shares of the rates were lent to this instance, or are lent to another one, or count as lost. */
+    RATE_SHARE_CHANGED(2237, Level.INFO, "this instance admits another part of the rates");
 
     private final Entry entry;
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
@@ -26,6 +26,7 @@
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.kernel.time.TimeSource;
 import org.tanagermoor.policy.quarantine.Crash;
+import org.tanagermoor.policy.share.Loan;
 import org.tanagermoor.wire.link.Channel;
 import org.tanagermoor.wire.link.PeerLink;
 import reactor.core.publisher.Mono;
@@ -43,17 +44,6 @@
     /** The same for items of jobs, for which the dispatcher answers within a second. */
     private static final Duration BATCH_TIMEOUT = Duration.ofMillis(1_500);
 
-    /**
-     * The number of equal parts of the rate of a team that an instance admits while it decides locally: the callers of
-     * a team are not spread evenly, and such periods are short.
-     */
-    private static final double LOCAL_SKEW = 2;
-
-    /**
-     * The fraction that an instance admits at its start, while it does not know how many others start at the same time.
-     */
-    private static final double START_FRACTION = 0.125;
-
     /** The maximum time for which a returned permit waits for another message to be sent with, in milliseconds. */
     private static final long RETURN_MILLIS = 4;
 
@@ -72,6 +62,9 @@
      */
     private static final long ALONE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+    /** The minimum time between two records of the part of the rates that this instance admits, in nanoseconds. */
+    private static final long FRACTION_RECORD_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
     private final EventLoop loop;
 
     private final PeerLink link;
@@ -82,8 +75,8 @@
     /** Decides on asks when this instance is the dispatcher. */
     private final DispatchServer localServer;
 
-    /** The rate limits of the teams, of which this instance admits a fraction while it is not the dispatcher. */
-    private final TeamRates rates;
+    /** The part of the rates that this instance may admit, and the loans of its share. */
+    private final RateAllocation allocation;
 
     /** The targets that have told this instance that they are leaving. */
     private Supplier<Collection<TargetEntry>> leavingTargets = List::of;
@@ -117,6 +110,15 @@
     /** The monotonic time in nanoseconds of the last change of the dispatcher. */
     private long changedAt;
 
+    /** The monotonic time in nanoseconds of the last call to a dispatcher. */
+    private long calledAt;
+
+    /** The part of the rates that was last recorded. */
+    private double recordedFraction;
+
+    /** The monotonic time in nanoseconds at which it was. */
+    private long fractionRecordedAt;
+
     /** Whether a message with returned permits is scheduled. */
     private boolean returnScheduled;
 
@@ -131,19 +133,20 @@
             PeerLink link,
             Liveness liveness,
             DispatchServer localServer,
-            TeamRates rates,
             EventLog events,
             TimeSource time) {
         this.loop = loop;
         this.link = link;
         this.liveness = liveness;
         this.localServer = localServer;
-        this.rates = rates;
+        allocation = localServer.allocation();
         this.events = events;
         this.time = time;
         self = liveness.self().id().toString();
         startedAt = time.nanos();
         changedAt = startedAt;
+        calledAt = startedAt;
+        fractionRecordedAt = startedAt - FRACTION_RECORD_NANOS;
     }
 
     /** Returns a client that uses the given dispatch server while this instance is the dispatcher. */
@@ -152,10 +155,9 @@
             PeerLink link,
             Liveness liveness,
             DispatchServer localServer,
-            TeamRates rates,
             EventLog events,
             TimeSource time) {
-        return new DispatchClient(loop, link, liveness, localServer, rates, events, time);
+        return new DispatchClient(loop, link, liveness, localServer, events, time);
     }
 
     /** Sets the handler that receives the numbers of permits recalled by a dispatcher on another instance. */
@@ -250,10 +252,16 @@
     public void tick(long now) {
         Instance dispatcher = liveness.dispatcher(now);
         boolean dispatching = dispatcher.id().equals(liveness.self().id());
-        rates.fraction(rateFraction(dispatching, now), now);
         if (lastDispatcher != null && dispatcher.id().equals(lastDispatcher.id())) {
+            allocation.update(now);
+            recordFraction(now);
             return;
         }
+        if (lastDispatcher != null && liveness.ended(lastDispatcher.id())) {
+            allocation.shares().released(lastDispatcher.id().toString(), now);
+        }
+        allocation.apply(now);
+        recordFraction(now);
         events.record(GatewayEvent.DISPATCHER_CHANGED, "dispatcher", dispatcher.id());
         lastDispatcher = dispatcher;
         changedAt = now;
@@ -274,12 +282,37 @@
         }
     }
 
-    /** Returns the fraction of the rate of each team that this instance may admit. */
-    private double rateFraction(boolean dispatching, long now) {
-        if (!dispatching) {
-            return Math.min(1, LOCAL_SKEW / liveness.known(now));
+    /** Records a change of the part of the rates that this instance may admit. */
+    private void recordFraction(long now) {
+        double fraction = allocation.rates().fraction();
+        if (fraction != recordedFraction && now - fractionRecordedAt >= FRACTION_RECORD_NANOS) {
+            recordedFraction = fraction;
+            fractionRecordedAt = now;
+            events.record(
+                    GatewayEvent.RATE_SHARE_CHANGED,
+                    "fraction",
+                    fraction,
+                    "shares",
+                    allocation.shares().had(now).size(),
+                    "known",
+                    liveness.known(now).size() + 1,
+                    "lost",
+                    allocation.shares().lost(now));
+        }
+    }
+
+    /** Renews the loan of this instance's share, unless another call to the dispatcher has done so recently. */
+    public void renewLoan() {
+        long now = time.nanos();
+        tick(now);
+        Instance dispatcher = liveness.dispatcher(now);
+        if (!dispatcher.id().equals(liveness.self().id()) && allocation.renewalDue(calledAt, now)) {
+            call(dispatcher, PermitCall.newBuilder(), false, result -> {
+                if (result.isLeft()) {
+                    dispatcherSilent(dispatcher, result.getLeft());
+                }
+            });
         }
-        return starting(now) ? START_FRACTION : 1;
     }
 
     /** Returns whether this instance started recently and knows no other running instance. */
@@ -385,6 +418,9 @@
                 .get()
                 .forEach(target -> call.addLeaving(
                         LeavingTarget.newBuilder().setId(target.id()).setStartedMillis(target.startedAtMillis())));
+        long sentAt = time.nanos();
+        calledAt = sentAt;
+        Loan loan = allocation.lend(dispatcher.id(), call, sentAt);
         link.call(
                         dispatcher.peer(),
                         dispatcher.id().incarnation(),
@@ -393,6 +429,9 @@
                         call.getAsk().getBatch() ? BATCH_TIMEOUT : TIMEOUT)
                 .map(DispatchClient::read)
                 .subscribe(result -> loop.execute(() -> {
+                    if (result.isRight()) {
+                        allocation.answered(dispatcher.id(), result.get(), loan, sentAt, time.nanos());
+                    }
                     if (result.isLeft()
                             && lastDispatcher != null
                             && lastDispatcher.id().equals(dispatcher.id())) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchCodec.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchCodec.java
@@ -10,7 +10,9 @@
 import org.tanagermoor.gateway.proto.PermitAsk;
 import org.tanagermoor.gateway.proto.PermitReturn;
 import org.tanagermoor.gateway.proto.PermitWork;
+import org.tanagermoor.gateway.proto.ShareLoan;
 import org.tanagermoor.policy.quarantine.Crash;
+import org.tanagermoor.policy.share.Loan;
 
 /** Converts asks, decisions and occupied places to and from the messages between instances. */
 final class DispatchCodec {
@@ -20,6 +22,32 @@
 
     private DispatchCodec() {}
 
+    /** Writes a loan. */
+    static ShareLoan toMessage(Loan loan) {
+        ShareLoan.Builder message = ShareLoan.newBuilder()
+                .setStamp(loan.stamp())
+                .setLeaseMillis((int) TimeUnit.NANOSECONDS.toMillis(loan.leaseNanos()))
+                .setFresh(loan.fresh())
+                .setKnown(loan.known());
+        if (loan.entrustedAgoNanos() != Loan.NEVER) {
+            // One for the encoding, and one since the time must not become shorter.
+            message.setEntrustedAgoMillis(TimeUnit.NANOSECONDS.toMillis(loan.entrustedAgoNanos()) + 2);
+        }
+        return message.build();
+    }
+
+    /** Reads a loan. */
+    static Loan fromMessage(ShareLoan message) {
+        return new Loan(
+                message.getStamp(),
+                TimeUnit.MILLISECONDS.toNanos(message.getLeaseMillis()),
+                message.getFresh(),
+                message.getEntrustedAgoMillis() == 0
+                        ? Loan.NEVER
+                        : TimeUnit.MILLISECONDS.toNanos(message.getEntrustedAgoMillis() - 1),
+                message.getKnown());
+    }
+
     /** Writes an ask; its holder is the sender of the message. */
     static PermitAsk toMessage(Ask ask) {
         return PermitAsk.newBuilder()
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
@@ -56,6 +56,9 @@
 
     private final Dispatcher dispatcher;
 
+    /** The part of the rates that this instance may admit. */
+    private final RateAllocation allocation;
+
     /** The receivers of answers to queued asks, by the identity of the run. */
     private final Map<String, Consumer<PermitAnswer>> waiting = new HashMap<>();
 
@@ -83,6 +86,7 @@
         this.link = link;
         this.liveness = liveness;
         this.time = time;
+        allocation = RateAllocation.of(liveness, rates, time.nanos());
         dispatcher = Dispatcher.of(this, rates, quarantine);
     }
 
@@ -99,6 +103,11 @@
         return dispatcher;
     }
 
+    /** Returns the part of the rates that this instance may admit. */
+    RateAllocation allocation() {
+        return allocation;
+    }
+
     /** Sets the handler that receives the numbers of recalled permits that this instance holds. */
     public void localRecallHandler(Consumer<Long> value) {
         localRecallHandler = value;
@@ -148,6 +157,7 @@
      */
     void ask(Ask ask, Consumer<PermitAnswer> answer) {
         dispatcher.batchPaused(!allPlacesKnown(time.nanos()), time.nanos());
+        allocation.update(time.nanos());
         Optional<PlacementDecision> decision = dispatcher.ask(ask, time.nanos());
         if (decision.isPresent()) {
             answer.accept(toMessage(ask, decision.get()));
@@ -241,12 +251,14 @@
             return Mono.just(Either.left(Failure.notRun(
                     Failure.Kind.INVALID, "dispatch.read", from.toString(), String.valueOf(exception.getMessage()))));
         }
-        return Mono.create(sink -> loop.execute(() -> handle(from.toString(), call, sink)));
+        return Mono.create(sink -> loop.execute(() -> handle(from, call, sink)));
     }
 
     /** Handles a parsed message on the event loop. */
-    private void handle(String holder, PermitCall call, MonoSink<Either<Failure, byte[]>> sink) {
+    private void handle(InstanceId from, PermitCall call, MonoSink<Either<Failure, byte[]>> sink) {
         long now = time.nanos();
+        String holder = from.toString();
+        allocation.borrow(from, call, now);
         call.getLeavingList().forEach(leavingHandler);
         if (call.getResync()) {
             dispatcher.resync(
@@ -256,24 +268,26 @@
             call.getCrashesList()
                     .forEach(report -> dispatcher.crashed(DispatchCodec.fromMessage(holder, report, now), now));
         } else if (!dispatcher.hasReported(holder)) {
-            sink.success(Either.right(PermitAnswer.newBuilder()
-                    .setKind(PermitAnswer.Kind.RESYNC)
-                    .build()
-                    .toByteArray()));
+            answer(PermitAnswer.newBuilder().setKind(PermitAnswer.Kind.RESYNC).build(), sink);
             return;
         }
         call.getReturnsList()
                 .forEach(entry -> dispatcher.release(
                         holder, entry.getPermit(), DispatchCodec.fromMessage(entry.getOutcome()), now));
         if (call.hasAsk()) {
-            ask(
-                    DispatchCodec.fromMessage(holder, call.getAsk()),
-                    answer -> sink.success(Either.right(answer.toByteArray())));
+            ask(DispatchCodec.fromMessage(holder, call.getAsk()), answer -> answer(answer, sink));
         } else {
-            sink.success(Either.right(PermitAnswer.getDefaultInstance().toByteArray()));
+            answer(PermitAnswer.getDefaultInstance(), sink);
         }
     }
 
+    /** Answers a message of a client on another instance. */
+    private void answer(PermitAnswer answer, MonoSink<Either<Failure, byte[]>> sink) {
+        long now = time.nanos();
+        allocation.update(now);
+        sink.success(Either.right(allocation.withStamp(answer, now).toByteArray()));
+    }
+
     /** Converts a decision, and adds the headroom for a later dispatcher. */
     private PermitAnswer toMessage(Ask ask, PlacementDecision decision) {
         return DispatchCodec.toMessage(decision, dispatcher.headroom(ask.service()));
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TeamRates.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TeamRates.java
@@ -11,13 +11,13 @@
 import org.tanagermoor.policy.budget.TokenBucket;
 
 /**
- * Admits a fraction of the rate limit and burst of each team: all of it at the dispatcher, a part of it at other
- * instances. Not thread-safe.
+ * Admits a fraction of the rate limit and burst of each team: as much as the shares make up that this instance has. Not
+ * thread-safe.
  */
 public final class TeamRates {
 
     /**
-     * The duration whose share of the rate an instance admits at once after its fraction increased, in seconds.
+     * The duration whose share of the rate an instance admits at once for a part of its fraction, in seconds.
      * Together with {@link #INITIAL_REQUESTS} this stays within the amount by which a window of some seconds may exceed
      * the limit (a tenth and 20).
      */
@@ -26,12 +26,24 @@
     /** The number of requests that are admitted at once in addition. */
     private static final double INITIAL_REQUESTS = 8;
 
+    /** The time for which they may be admitted, in nanoseconds: until loans of shares to others have ended. */
+    private static final long ADDITIONAL_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+    /** The time after which a caller may retry while this instance may admit no part of any rate, in milliseconds. */
+    private static final long NO_SHARE_RETRY_MILLIS = 500;
+
     /** The buckets of the teams with a limit, by name. */
     private final Map<String, TokenBucket> buckets = new HashMap<>();
 
     /** The complete limits of the teams with a limit, by name. */
     private final Map<String, RateLimit> limits = new HashMap<>();
 
+    /** The requests that may be admitted in addition, by the name of the team. */
+    private final Map<String, Double> additional = new HashMap<>();
+
+    /** The monotonic time in nanoseconds until which they may. */
+    private long additionalUntil;
+
     /** The fraction of each limit that this instance may admit. */
     private double fraction = 1;
 
@@ -58,29 +70,42 @@
         }
         limits.keySet().retainAll(limitedTeams);
         buckets.keySet().retainAll(limitedTeams);
+        additional.keySet().retainAll(limitedTeams);
         apply(now);
     }
 
+    /** Returns whether any team has a limit. */
+    public boolean limited() {
+        return !limits.isEmpty();
+    }
+
+    /** Returns the fraction of each limit that this instance may admit. */
+    public double fraction() {
+        return fraction;
+    }
+
     /**
-     * Changes the fraction of each limit that this instance may admit. After an increase the buckets start with little,
-     * since another instance may just have admitted a burst.
+     * Changes the fraction of each limit that this instance may admit. The levels of the buckets do not increase with
+     * it, since other instances may just have admitted a burst; instead a small amount may be admitted for the part of
+     * the fraction that is fresh, soon and only once.
      *
      * @param value The fraction, from 0 to 1.
+     * @param fresh The fraction for which no instance has admitted anything in addition recently, from 0 to 1.
      * @param now The current monotonic time in nanoseconds.
      */
-    public void fraction(double value, long now) {
-        if (value == fraction) {
-            return;
+    public void fraction(double value, double fresh, long now) {
+        if (value != fraction) {
+            fraction = value;
+            apply(now);
         }
-        boolean increased = value > fraction;
-        fraction = value;
-        apply(now);
-        if (increased) {
-            buckets.forEach((team, bucket) -> {
-                RateLimit limit = limits.getOrDefault(team, RateLimit.NOTHING);
-                double level = bucket.refill(bucket.limit().burst(), now);
-                bucket.add(Math.max(0, fraction * initialLevel(limit) - level));
-            });
+        if (now - additionalUntil >= 0) {
+            additional.clear();
+        }
+        if (fresh > 0) {
+            if (additional.isEmpty()) {
+                additionalUntil = now + ADDITIONAL_NANOS;
+            }
+            limits.forEach((team, limit) -> additional.merge(team, fresh * initialAmount(limit), Double::sum));
         }
     }
 
@@ -93,14 +118,27 @@
      */
     public long take(String team, long now) {
         TokenBucket bucket = buckets.get(team);
-        if (bucket == null || bucket.take(1, now)) {
+        if (bucket == null || (fraction > 0 && bucket.take(1, now)) || takeAdditional(team, now)) {
             return 0;
         }
+        if (fraction == 0) {
+            return NO_SHARE_RETRY_MILLIS;
+        }
         double missing = 1 - bucket.refill(bucket.limit().burst(), now);
         long nanos = bucket.limit().nanosFor(Math.max(missing, 0));
         return Math.max(1, Math.min(TimeUnit.NANOSECONDS.toMillis(nanos), TimeUnit.MINUTES.toMillis(1)));
     }
 
+    /** Takes one of the requests that may be admitted in addition, if there is one. */
+    private boolean takeAdditional(String team, long now) {
+        double left = additional.getOrDefault(team, 0.0);
+        if (left < 1 || now - additionalUntil >= 0) {
+            return false;
+        }
+        additional.put(team, left - 1);
+        return true;
+    }
+
     /** Applies the current fraction to the limit of each bucket. */
     private void apply(long now) {
         limits.forEach((team, limit) -> {
@@ -118,8 +156,13 @@
         return bucket;
     }
 
-    /** Returns what may be admitted at once by an instance that does not know what others have admitted recently. */
+    /** Returns the level of a bucket whose team is new. */
     private static double initialLevel(RateLimit limit) {
-        return Math.min(limit.burst(), INITIAL_SECONDS * limit.perSecond() + INITIAL_REQUESTS);
+        return Math.min(limit.burst(), initialAmount(limit));
+    }
+
+    /** Returns what may be admitted at once by instances that do not know what others have admitted recently. */
+    private static double initialAmount(RateLimit limit) {
+        return INITIAL_SECONDS * limit.perSecond() + INITIAL_REQUESTS;
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Liveness.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Liveness.java
@@ -128,6 +128,10 @@
             state.stopping = true;
             view = null;
         }
+        if (!state.heard && heartbeat.ageNanos() <= SILENCE_NANOS) {
+            state.heard = true;
+            view = null;
+        }
         updateLastSeen(state, seenAt);
     }
 
@@ -144,6 +148,10 @@
         if (state == null) {
             return incarnation == self.id().incarnation() || ageNanos > SILENCE_NANOS;
         }
+        if (!state.heard && ageNanos <= SILENCE_NANOS) {
+            state.heard = true;
+            view = null;
+        }
         updateLastSeen(state, now - ageNanos);
         return true;
     }
@@ -165,15 +173,27 @@
     }
 
     /**
-     * Returns the number of known instances, including those that are silent or only candidates.
+     * Returns the names of the other known instances that are not stopping, including those that are silent or only
+     * candidates.
      *
      * @param now The current monotonic time in nanoseconds.
-     * @return The number of instances by name, including this one.
+     * @return The names; the same object while nothing has changed.
      */
-    public int known(long now) {
+    public Set<String> known(long now) {
         return view(now).known;
     }
 
+    /**
+     * Returns the number of these instances of which this one has received a heartbeat, so that they are not only
+     * candidates.
+     *
+     * @param now The current monotonic time in nanoseconds.
+     * @return The number, without this instance.
+     */
+    public int heard(long now) {
+        return view(now).heard;
+    }
+
     /** Updates the time at which a run was last known to be alive. */
     private void updateLastSeen(State state, long seenAt) {
         if (seenAt - state.lastSeenAt > 0) {
@@ -243,6 +263,18 @@
         return id.equals(selfText) || view(now).running.containsKey(id);
     }
 
+    /**
+     * Returns whether a run of another instance is known to dispatch no more: it is stopping, or a later run of the
+     * same instance was alive.
+     *
+     * @param id The identity.
+     * @return Whether it is; not if it is only silent.
+     */
+    public boolean ended(InstanceId id) {
+        State state = others.get(id);
+        return state != null && (state.stopping || replaced(state, newest()));
+    }
+
     /**
      * Finds another instance that runs.
      *
@@ -343,12 +375,22 @@
             }
             validUntil = Math.min(validUntil, state.lastSeenAt + SILENCE_NANOS);
         }
+        Set<String> known = new HashSet<>();
+        int heard = 0;
+        newest.remove(self.id().name());
+        for (Map.Entry<String, State> entry : newest.entrySet()) {
+            if (!entry.getValue().stopping) {
+                known.add(entry.getKey());
+                heard += entry.getValue().heard ? 1 : 0;
+            }
+        }
         return new View(
                 List.copyOf(serving),
                 Collections.unmodifiableMap(running),
                 dispatcher(answering),
                 Collections.unmodifiableSet(stable),
-                newest.size() + (newest.containsKey(self.id().name()) ? 0 : 1),
+                Collections.unmodifiableSet(known),
+                heard,
                 validUntil);
     }
 
@@ -407,7 +449,8 @@
      * @param running The other instances that run, by their identity as text.
      * @param dispatcher The instance that dispatches.
      * @param stable The runs for which a further heartbeat changes only the time at which they were last alive.
-     * @param known The number of instances by name, including silent ones.
+     * @param known The names of the other instances that are not stopping, including silent ones.
+     * @param heard The number of these of which a heartbeat was received.
      * @param validUntil The monotonic time in nanoseconds until which this holds if no heartbeat is received.
      */
     private record View(
@@ -415,7 +458,8 @@
             Map<String, Instance> running,
             Instance dispatcher,
             Set<State> stable,
-            int known,
+            Set<String> known,
+            int heard,
             long validUntil) {}
 
     /**
@@ -446,6 +490,9 @@
 
         private boolean stopping;
 
+        /** Whether a heartbeat of it was received. */
+        private boolean heard;
+
         /** The monotonic time in nanoseconds at which this instance first received a heartbeat of it. */
         private final long firstSeenAt;
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAnswer.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAnswer.java
@@ -343,6 +343,36 @@
     }
   }
 
+  public static final int STAMP_FIELD_NUMBER = 6;
+  private long stamp_ = 0L;
+  /**
+   * <pre>
+   * The time of the dispatcher at this answer, with which the receiver may lend it a share; 0 if it takes none.
+   * </pre>
+   *
+   * <code>uint64 stamp = 6;</code>
+   * @return The stamp.
+   */
+  @java.lang.Override
+  public long getStamp() {
+    return stamp_;
+  }
+
+  public static final int MOST_SHARES_FIELD_NUMBER = 7;
+  private boolean mostShares_ = false;
+  /**
+   * <pre>
+   * Whether the dispatcher has most of the shares.
+   * </pre>
+   *
+   * <code>bool most_shares = 7;</code>
+   * @return The mostShares.
+   */
+  @java.lang.Override
+  public boolean getMostShares() {
+    return mostShares_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -372,6 +402,12 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(detail_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 5, detail_);
     }
+    if (stamp_ != 0L) {
+      output.writeUInt64(6, stamp_);
+    }
+    if (mostShares_ != false) {
+      output.writeBool(7, mostShares_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -394,6 +430,14 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(detail_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(5, detail_);
     }
+    if (stamp_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(6, stamp_);
+    }
+    if (mostShares_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, mostShares_);
+    }
     return size;
   }
   @java.lang.Override
@@ -427,6 +471,10 @@
         != other.getLeftPermille()) return false;
     if (!getDetail()
         .equals(other.getDetail())) return false;
+    if (getStamp()
+        != other.getStamp()) return false;
+    if (getMostShares()
+        != other.getMostShares()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -448,6 +496,12 @@
     hash = (53 * hash) + getLeftPermille();
     hash = (37 * hash) + DETAIL_FIELD_NUMBER;
     hash = (53 * hash) + getDetail().hashCode();
+    hash = (37 * hash) + STAMP_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStamp());
+    hash = (37 * hash) + MOST_SHARES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getMostShares());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -584,6 +638,8 @@
       retryAfterMillis_ = 0;
       leftPermille_ = 0;
       detail_ = "";
+      stamp_ = 0L;
+      mostShares_ = false;
       return this;
     }
 
@@ -632,6 +688,12 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.detail_ = detail_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.stamp_ = stamp_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.mostShares_ = mostShares_;
+      }
     }
 
     @java.lang.Override
@@ -665,6 +727,12 @@
         bitField0_ |= 0x00000010;
         onChanged();
       }
+      if (other.getStamp() != 0L) {
+        setStamp(other.getStamp());
+      }
+      if (other.getMostShares() != false) {
+        setMostShares(other.getMostShares());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -714,6 +782,16 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 48: {
+              stamp_ = input.readUInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 56: {
+              mostShares_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1023,6 +1101,94 @@
       return this;
     }
 
+    private long stamp_ ;
+    /**
+     * <pre>
+     * The time of the dispatcher at this answer, with which the receiver may lend it a share; 0 if it takes none.
+     * </pre>
+     *
+     * <code>uint64 stamp = 6;</code>
+     * @return The stamp.
+     */
+    @java.lang.Override
+    public long getStamp() {
+      return stamp_;
+    }
+    /**
+     * <pre>
+     * The time of the dispatcher at this answer, with which the receiver may lend it a share; 0 if it takes none.
+     * </pre>
+     *
+     * <code>uint64 stamp = 6;</code>
+     * @param value The stamp to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStamp(long value) {
+
+      stamp_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The time of the dispatcher at this answer, with which the receiver may lend it a share; 0 if it takes none.
+     * </pre>
+     *
+     * <code>uint64 stamp = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStamp() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      stamp_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean mostShares_ ;
+    /**
+     * <pre>
+     * Whether the dispatcher has most of the shares.
+     * </pre>
+     *
+     * <code>bool most_shares = 7;</code>
+     * @return The mostShares.
+     */
+    @java.lang.Override
+    public boolean getMostShares() {
+      return mostShares_;
+    }
+    /**
+     * <pre>
+     * Whether the dispatcher has most of the shares.
+     * </pre>
+     *
+     * <code>bool most_shares = 7;</code>
+     * @param value The mostShares to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMostShares(boolean value) {
+
+      mostShares_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the dispatcher has most of the shares.
+     * </pre>
+     *
+     * <code>bool most_shares = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMostShares() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      mostShares_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.PermitAnswer)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAnswerOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAnswerOrBuilder.java
@@ -68,4 +68,24 @@
    */
   com.google.protobuf.ByteString
       getDetailBytes();
+
+  /**
+   * <pre>
+   * The time of the dispatcher at this answer, with which the receiver may lend it a share; 0 if it takes none.
+   * </pre>
+   *
+   * <code>uint64 stamp = 6;</code>
+   * @return The stamp.
+   */
+  long getStamp();
+
+  /**
+   * <pre>
+   * Whether the dispatcher has most of the shares.
+   * </pre>
+   *
+   * <code>bool most_shares = 7;</code>
+   * @return The mostShares.
+   */
+  boolean getMostShares();
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitCall.java
@@ -299,6 +299,44 @@
     return crashes_.get(index);
   }
 
+  public static final int LOAN_FIELD_NUMBER = 7;
+  private org.tanagermoor.gateway.proto.ShareLoan loan_;
+  /**
+   * <pre>
+   * The loan of the sender's share of the rates.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.ShareLoan loan = 7;</code>
+   * @return Whether the loan field is set.
+   */
+  @java.lang.Override
+  public boolean hasLoan() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * The loan of the sender's share of the rates.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.ShareLoan loan = 7;</code>
+   * @return The loan.
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.ShareLoan getLoan() {
+    return loan_ == null ? org.tanagermoor.gateway.proto.ShareLoan.getDefaultInstance() : loan_;
+  }
+  /**
+   * <pre>
+   * The loan of the sender's share of the rates.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.ShareLoan loan = 7;</code>
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.ShareLoanOrBuilder getLoanOrBuilder() {
+    return loan_ == null ? org.tanagermoor.gateway.proto.ShareLoan.getDefaultInstance() : loan_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -331,6 +369,9 @@
     for (int i = 0; i < crashes_.size(); i++) {
       output.writeMessage(6, crashes_.get(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(7, getLoan());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -379,6 +420,10 @@
           }
           size += 1 * count;
         }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, getLoan());
+    }
     return size;
   }
   @java.lang.Override
@@ -418,6 +463,11 @@
         .equals(other.getLeavingList())) return false;
     if (!getCrashesList()
         .equals(other.getCrashesList())) return false;
+    if (hasLoan() != other.hasLoan()) return false;
+    if (hasLoan()) {
+      if (!getLoan()
+          .equals(other.getLoan())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -452,6 +502,10 @@
       hash = (37 * hash) + CRASHES_FIELD_NUMBER;
       hash = (53 * hash) + getCrashesList().hashCode();
     }
+    if (hasLoan()) {
+      hash = (37 * hash) + LOAN_FIELD_NUMBER;
+      hash = (53 * hash) + getLoan().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -592,6 +646,7 @@
         internalGetHeldFieldBuilder();
         internalGetLeavingFieldBuilder();
         internalGetCrashesFieldBuilder();
+        internalGetLoanFieldBuilder();
       }
     }
     @java.lang.Override
@@ -632,6 +687,11 @@
         crashesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
+      loan_ = null;
+      if (loanBuilder_ != null) {
+        loanBuilder_.dispose();
+        loanBuilder_ = null;
+      }
       return this;
     }
 
@@ -715,6 +775,12 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.resync_ = resync_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.loan_ = loanBuilder_ == null
+            ? loan_
+            : loanBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -840,6 +906,9 @@
           }
         }
       }
+      if (other.hasLoan()) {
+        mergeLoan(other.getLoan());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -928,6 +997,13 @@
               }
               break;
             } // case 50
+            case 58: {
+              input.readMessage(
+                  internalGetLoanFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2176,6 +2252,161 @@
       return crashesBuilder_;
     }
 
+    private org.tanagermoor.gateway.proto.ShareLoan loan_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tanagermoor.gateway.proto.ShareLoan, org.tanagermoor.gateway.proto.ShareLoan.Builder, org.tanagermoor.gateway.proto.ShareLoanOrBuilder> loanBuilder_;
+    /**
+     * <pre>
+     * The loan of the sender's share of the rates.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.ShareLoan loan = 7;</code>
+     * @return Whether the loan field is set.
+     */
+    public boolean hasLoan() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <pre>
+     * The loan of the sender's share of the rates.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.ShareLoan loan = 7;</code>
+     * @return The loan.
+     */
+    public org.tanagermoor.gateway.proto.ShareLoan getLoan() {
+      if (loanBuilder_ == null) {
+        return loan_ == null ? org.tanagermoor.gateway.proto.ShareLoan.getDefaultInstance() : loan_;
+      } else {
+        return loanBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * The loan of the sender's share of the rates.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.ShareLoan loan = 7;</code>
+     */
+    public Builder setLoan(org.tanagermoor.gateway.proto.ShareLoan value) {
+      if (loanBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        loan_ = value;
+      } else {
+        loanBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The loan of the sender's share of the rates.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.ShareLoan loan = 7;</code>
+     */
+    public Builder setLoan(
+        org.tanagermoor.gateway.proto.ShareLoan.Builder builderForValue) {
+      if (loanBuilder_ == null) {
+        loan_ = builderForValue.build();
+      } else {
+        loanBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The loan of the sender's share of the rates.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.ShareLoan loan = 7;</code>
+     */
+    public Builder mergeLoan(org.tanagermoor.gateway.proto.ShareLoan value) {
+      if (loanBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0) &&
+          loan_ != null &&
+          loan_ != org.tanagermoor.gateway.proto.ShareLoan.getDefaultInstance()) {
+          getLoanBuilder().mergeFrom(value);
+        } else {
+          loan_ = value;
+        }
+      } else {
+        loanBuilder_.mergeFrom(value);
+      }
+      if (loan_ != null) {
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The loan of the sender's share of the rates.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.ShareLoan loan = 7;</code>
+     */
+    public Builder clearLoan() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      loan_ = null;
+      if (loanBuilder_ != null) {
+        loanBuilder_.dispose();
+        loanBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The loan of the sender's share of the rates.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.ShareLoan loan = 7;</code>
+     */
+    public org.tanagermoor.gateway.proto.ShareLoan.Builder getLoanBuilder() {
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return internalGetLoanFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * The loan of the sender's share of the rates.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.ShareLoan loan = 7;</code>
+     */
+    public org.tanagermoor.gateway.proto.ShareLoanOrBuilder getLoanOrBuilder() {
+      if (loanBuilder_ != null) {
+        return loanBuilder_.getMessageOrBuilder();
+      } else {
+        return loan_ == null ?
+            org.tanagermoor.gateway.proto.ShareLoan.getDefaultInstance() : loan_;
+      }
+    }
+    /**
+     * <pre>
+     * The loan of the sender's share of the rates.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.ShareLoan loan = 7;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tanagermoor.gateway.proto.ShareLoan, org.tanagermoor.gateway.proto.ShareLoan.Builder, org.tanagermoor.gateway.proto.ShareLoanOrBuilder> 
+        internalGetLoanFieldBuilder() {
+      if (loanBuilder_ == null) {
+        loanBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.tanagermoor.gateway.proto.ShareLoan, org.tanagermoor.gateway.proto.ShareLoan.Builder, org.tanagermoor.gateway.proto.ShareLoanOrBuilder>(
+                getLoan(),
+                getParentForChildren(),
+                isClean());
+        loan_ = null;
+      }
+      return loanBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.PermitCall)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitCallOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitCallOrBuilder.java
@@ -166,4 +166,31 @@
    */
   org.tanagermoor.gateway.proto.CrashReportOrBuilder getCrashesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The loan of the sender's share of the rates.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.ShareLoan loan = 7;</code>
+   * @return Whether the loan field is set.
+   */
+  boolean hasLoan();
+  /**
+   * <pre>
+   * The loan of the sender's share of the rates.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.ShareLoan loan = 7;</code>
+   * @return The loan.
+   */
+  org.tanagermoor.gateway.proto.ShareLoan getLoan();
+  /**
+   * <pre>
+   * The loan of the sender's share of the rates.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.ShareLoan loan = 7;</code>
+   */
+  org.tanagermoor.gateway.proto.ShareLoanOrBuilder getLoanOrBuilder();
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/member/LivenessTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/member/LivenessTest.java
@@ -46,6 +46,33 @@
         assertThat(liveness.runs(InstanceId.of("b", 2), now), is(true));
     }
 
+    /** A run that is silent may go on beyond a cut; one that is stopping, or was followed by a later one, does not. */
+    @Test
+    void tellsAnEndedRunFromASilentOne() {
+        liveness.observe(new Liveness.Heartbeat(instance("b", 1), millis(100), false), now);
+        liveness.observe(new Liveness.Heartbeat(instance("c", 1), 0, false), now);
+        liveness.observe(new Liveness.Heartbeat(instance("d", 1), 0, false), now);
+        now += Liveness.SILENCE_NANOS + millis(50);
+        assertThat(liveness.known(now), containsInAnyOrder("b", "c", "d"));
+        assertThat(liveness.ended(InstanceId.of("b", 1)), is(false));
+        liveness.observe(new Liveness.Heartbeat(instance("b", 2), 0, false), now);
+        liveness.observe(new Liveness.Heartbeat(instance("c", 1), 0, true), now);
+        assertThat(liveness.ended(InstanceId.of("b", 1)), is(true));
+        assertThat(liveness.ended(InstanceId.of("c", 1)), is(true));
+        assertThat(liveness.ended(InstanceId.of("d", 1)), is(false));
+        assertThat(liveness.known(now), containsInAnyOrder("b", "d"));
+    }
+
+    /** An instance of which only a row was read is known, but was not heard of. */
+    @Test
+    void knowsACandidateOfWhichItHasNotHeard() {
+        liveness.addCandidate(instance("b", 1), now);
+        assertThat(liveness.known(now), contains("b"));
+        assertThat(liveness.heard(now), is(0));
+        liveness.observe(new Liveness.Heartbeat(instance("b", 1), 0, false), now);
+        assertThat(liveness.heard(now), is(1));
+    }
+
     /** An instance that is stopping no longer serves, though it still runs. */
     @Test
     void doesNotServeWhileStopping() {
