--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 import org.tanagermoor.gateway.dispatch.DispatchClient;
 import org.tanagermoor.gateway.dispatch.DispatchServer;
+import org.tanagermoor.gateway.dispatch.ShareTable;
 import org.tanagermoor.gateway.dispatch.TeamRates;
 import org.tanagermoor.gateway.duty.Duties;
 import org.tanagermoor.gateway.edge.CallContext;
@@ -48,6 +49,9 @@
     /** The interval of periodic checks in milliseconds. */
     private static final long TICK_INTERVAL_MILLIS = 250;
 
+    /** The interval at which the age of the loan of this instance's share of the rates is checked, in milliseconds. */
+    private static final long LOAN_INTERVAL_MILLIS = 100;
+
     /** The interval at which all places in use are reported to the dispatcher, in milliseconds. */
     private static final long REPORT_INTERVAL_MILLIS = 2_000;
 
@@ -98,6 +102,9 @@
     /** Assigns places to requests of this and other instances. */
     private final DispatchServer dispatchServer;
 
+    /** Claims the shares of the rates in the control store while some are missing. */
+    private final ShareTable shareTable;
+
     /** Asks the dispatcher for places. */
     private final DispatchClient dispatchClient;
 
@@ -132,7 +139,8 @@
         Quarantine parts = Quarantine.of();
         quarantine = PartQuarantine.of(parts, tables, loop, duties, events, time);
         dispatchServer = DispatchServer.of(loop, link, liveness, time, rates, parts);
-        dispatchClient = DispatchClient.of(loop, link, liveness, dispatchServer, rates, events, time);
+        shareTable = ShareTable.of(tables, loop, dispatchServer, self.id().name(), events, time);
+        dispatchClient = DispatchClient.of(loop, link, liveness, dispatchServer, events, time);
         connections = TargetConnections.of(
                 loop,
                 context.service(TargetProtocol.class),
@@ -219,6 +227,7 @@
         gossip.start(duties);
         duties.every("checks", TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, this::tick);
         duties.every("reports", REPORT_INTERVAL_MILLIS, REPORT_INTERVAL_MILLIS, dispatchClient::reportAll);
+        duties.every("loan", LOAN_INTERVAL_MILLIS, LOAN_INTERVAL_MILLIS, dispatchClient::renewLoan);
         addresses.forEach(address -> edge.listen(group, address));
     }
 
@@ -281,6 +290,7 @@
         duties.run("fleet", () -> fleet.tick(now));
         duties.run("dispatch client", () -> dispatchClient.tick(now));
         duties.run("dispatch server", () -> dispatchServer.tick(now));
+        duties.run("rate shares", () -> shareTable.tick(now));
         duties.run(
                 "quarantine",
                 () -> quarantine.tick(
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
@@ -117,6 +117,9 @@
     /** A target sent an answer that names another request or none, and it was not passed on. */
     ANSWER_SKIPPED(2237, Level.INFO, "an answer that belongs to no current request was skipped"),
 
+    /** Shares of the rates were lent to this instance, or are lent to another one, or count as lost. */
+    RATE_SHARE_CHANGED(2238, Level.INFO, "this instance admits another part of the rates"),
+
     /** No duty was done for long because the virtual machine lacks memory; the process ends, and others take over. */
     DUTIES_EXHAUSTED(2245, Level.ERROR, "this instance ends because it cannot do its duties");
 
