Confirm an end only by a connection that stays open

AnswerProofSessionTest.breaksOffAnAnswerWithoutALengthWhoseServerCrashed passed a crash as complete in one of its three cases, once, under a load of about 20. The system keeps a listener until the call that accepts on it has returned, so that a connection made as the server ends may still be taken, and is then reset.

The next connection must stay open for 20 ms before the end is believed.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnections.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnections.java
@@ -30,6 +30,12 @@
     /** How long an idle connection may be reused if the target does not say, in milliseconds. */
     private static final long DEFAULT_IDLE_TIMEOUT_MILLIS = 3_000;
 
+    /**
+     * The time for which the next connection to a target must stay open after an answer without a length, in
+     * milliseconds: a process that ends resets the connections that it has not accepted yet.
+     */
+    private static final long CONFIRMATION_MILLIS = 20;
+
     /** The fraction of the target's idle timeout after which a connection is no longer reused. */
     private static final double IDLE_TIMEOUT_FRACTION = 0.7;
 
@@ -137,14 +143,23 @@
         connect(ended.target(), next)
                 .addListener((ChannelFuture connectFuture) -> loop.execute(() -> {
                     if (connectFuture.isSuccess()) {
-                        release(next);
-                        ended.confirmEnd();
+                        loop.schedule(() -> confirmEnd(ended, next), CONFIRMATION_MILLIS, TimeUnit.MILLISECONDS);
                     } else {
                         ended.denyEnd("the answer ended as its target became unreachable: " + connectFuture.cause());
                     }
                 }));
     }
 
+    /** Confirms the end of an answer if the next connection is still open. */
+    private void confirmEnd(TargetConnection ended, TargetConnection next) {
+        if (next.open()) {
+            release(next);
+            ended.confirmEnd();
+        } else {
+            ended.denyEnd("the answer ended as its target closed the next connection");
+        }
+    }
+
     /** Closes idle connections to all targets but the given ones, now and in the future. */
     public void retainOnly(Set<String> targets) {
         retainedTargets = targets;
