Let no error end the claims of rate shares

ShareTable kept a flag while a call to the store was under way.

Its calls run as a duty: the error is logged and counted, and the next claim is made when it is due.

DispatchClientTest and DutiesTest passed.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -139,7 +139,7 @@
         Quarantine parts = Quarantine.of();
         quarantine = PartQuarantine.of(parts, tables, loop, duties, events, time);
         dispatchServer = DispatchServer.of(loop, link, liveness, time, rates, parts);
-        shareTable = ShareTable.of(tables, loop, dispatchServer, self.id().name(), events, time);
+        shareTable = ShareTable.of(tables, duties, dispatchServer, self.id().name(), events, time);
         dispatchClient = DispatchClient.of(loop, link, liveness, dispatchServer, events, time);
         connections = TargetConnections.of(
                 loop,
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ShareTable.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ShareTable.java
@@ -1,13 +1,13 @@
 package org.tanagermoor.gateway.dispatch;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.tanagermoor.gateway.GatewayEvent;
+import org.tanagermoor.gateway.duty.Duties;
 import org.tanagermoor.gateway.proto.ShareClaimRow;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.failure.Failure;
@@ -27,9 +27,15 @@
 
     private static final String TABLE = "rate-shares";
 
+    /** The name of the duty in the log. */
+    private static final String DUTY = "rate shares";
+
+    /** The time from an error to the end of the attempt, in milliseconds. */
+    private static final long RETRY_MILLIS = 300;
+
     private final TableService tables;
 
-    private final EventLoop loop;
+    private final Duties duties;
 
     private final RateAllocation allocation;
 
@@ -48,13 +54,13 @@
 
     private ShareTable(
             TableService tables,
-            EventLoop loop,
+            Duties duties,
             RateAllocation allocation,
             String self,
             EventLog events,
             TimeSource time) {
         this.tables = tables;
-        this.loop = loop;
+        this.duties = duties;
         this.allocation = allocation;
         this.self = self;
         this.events = events;
@@ -66,7 +72,7 @@
      * Returns a table that makes no call before {@link #tick}.
      *
      * @param tables The store.
-     * @param loop The event loop.
+     * @param duties Runs the calls, so that an error does not end the claims.
      * @param server The server for whose decisions the shares count.
      * @param self The name of this instance.
      * @param events The log.
@@ -74,8 +80,8 @@
      * @return A table.
      */
     public static ShareTable of(
-            TableService tables, EventLoop loop, DispatchServer server, String self, EventLog events, TimeSource time) {
-        return new ShareTable(tables, loop, server.allocation(), self, events, time);
+            TableService tables, Duties duties, DispatchServer server, String self, EventLog events, TimeSource time) {
+        return new ShareTable(tables, duties, server.allocation(), self, events, time);
     }
 
     /**
@@ -98,21 +104,34 @@
     /** Writes the claim of this instance, then reads those of all. */
     private void claim(Set<String> names, long sentAt) {
         byte[] value = ShareClaimRow.newBuilder().addAllNames(names).build().toByteArray();
-        tables.commit(Transaction.EMPTY.withPut(RowKey.of(TABLE, self), value))
-                .subscribe(result -> loop.execute(() -> ifAnswered(result, "write", ignored -> {
+        duties.call(
+                DUTY,
+                () -> tables.commit(Transaction.EMPTY.withPut(RowKey.of(TABLE, self), value)),
+                result -> ifAnswered(result, "write", ignored -> {
                     allocation.shares().claimed(names, sentAt, time.nanos());
                     read();
-                })));
+                }),
+                RETRY_MILLIS,
+                this::ended);
     }
 
     /** Reads the claims of all instances. */
     private void read() {
         long sentAt = time.nanos();
-        tables.scanAll(TABLE, "")
-                .subscribe(result -> loop.execute(() -> ifAnswered(result, "read", rows -> {
+        duties.call(
+                DUTY,
+                () -> tables.scanAll(TABLE, ""),
+                result -> ifAnswered(result, "read", rows -> {
                     calling = false;
                     allocation.shares().claimsRead(claims(rows), sentAt, time.nanos());
-                })));
+                }),
+                RETRY_MILLIS,
+                this::ended);
+    }
+
+    /** Ends an attempt, so that the next claim is made when it is due. */
+    private void ended() {
+        calling = false;
     }
 
     /** Passes on what the store answered, or ends this attempt with a record of the failure. */
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchClientTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchClientTest.java
@@ -11,6 +11,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.vavr.control.Either;
@@ -25,6 +26,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.tanagermoor.gateway.GatewayMetrics;
+import org.tanagermoor.gateway.duty.Duties;
 import org.tanagermoor.gateway.fleet.FleetTeam;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.gateway.member.Instance;
@@ -409,7 +412,9 @@
             EventLoop loop = channel.eventLoop();
             server = DispatchServer.of(loop, this, liveness, time, rates, Quarantine.of());
             client = DispatchClient.of(loop, this, liveness, server, new EventLog.Disabled(), time);
-            shareTable = ShareTable.of(tables, loop, server, name, new EventLog.Disabled(), time);
+            Duties duties =
+                    Duties.of(loop, new EventLog.Disabled(), GatewayMetrics.of(new MetricRegistry()), time, () -> {});
+            shareTable = ShareTable.of(tables, duties, server, name, new EventLog.Disabled(), time);
             TargetEntry target = new TargetEntry("t", "s", address, "lisbon", CAPACITY, false, 0, 0);
             server.dispatcher().targets(List.of(target), service -> 0, now);
         }
