--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
@@ -96,6 +96,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tanagermoor_gateway_PermitReturn_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagermoor_gateway_TargetLoad_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagermoor_gateway_TargetLoad_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagermoor_gateway_RolloutRow_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagermoor_gateway_RolloutRow_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_tanagermoor_gateway_HeldPermit_descriptor;
   static final 
@@ -194,56 +204,72 @@
       "\010\022\034\n\024entrusted_ago_millis\030\004 \001(\004\022\r\n\005known" +
       "\030\005 \001(\r\"\036\n\rShareClaimRow\022\r\n\005names\030\001 \003(\t\"3" +
       "\n\rLeavingTarget\022\n\n\002id\030\001 \001(\t\022\026\n\016started_m" +
-      "illis\030\002 \001(\004\"\240\002\n\tPermitAsk\022\016\n\006permit\030\001 \001(" +
+      "illis\030\002 \001(\004\"\321\002\n\tPermitAsk\022\016\n\006permit\030\001 \001(" +
       "\004\022\017\n\007service\030\002 \001(\t\022\014\n\004team\030\003 \001(\t\022\016\n\006doma" +
       "in\030\004 \001(\t\022\022\n\nprompt_key\030\005 \001(\006\022\023\n\013wait_mil" +
       "lis\030\006 \001(\r\022\026\n\016on_time_millis\030\007 \001(\005\022\r\n\005bat" +
       "ch\030\010 \001(\010\022\020\n\010excluded\030\t \003(\t\022\021\n\treturning\030" +
       "\n \001(\010\022-\n\004work\030\013 \001(\0132\037.tanagermoor.gatewa" +
       "y.PermitWork\0220\n\006prompt\030\014 \001(\0132 .tanagermo" +
-      "or.gateway.PromptParts\"3\n\nPermitWork\022\016\n\006" +
-      "millis\030\001 \001(\r\022\025\n\rdone_permille\030\002 \001(\r\"\320\001\n\014" +
-      "PermitReturn\022\016\n\006permit\030\001 \001(\004\022:\n\007outcome\030" +
-      "\002 \001(\0162).tanagermoor.gateway.PermitReturn" +
-      ".Outcome\"t\n\007Outcome\022\n\n\006UNUSED\020\000\022\n\n\006SERVE" +
-      "D\020\001\022\017\n\013UNREACHABLE\020\002\022\010\n\004FULL\020\003\022\n\n\006FAILED" +
-      "\020\004\022\013\n\007CRASHED\020\005\022\r\n\tABANDONED\020\006\022\016\n\nBROKEN" +
-      "_OFF\020\007\"\331\001\n\nHeldPermit\022\016\n\006permit\030\001 \001(\004\022\017\n" +
-      "\007service\030\002 \001(\t\022\016\n\006target\030\003 \001(\t\022\r\n\005batch\030" +
-      "\004 \001(\010\022\026\n\016on_time_millis\030\005 \001(\005\022-\n\004work\030\006 " +
-      "\001(\0132\037.tanagermoor.gateway.PermitWork\0220\n\006" +
-      "prompt\030\007 \001(\0132 .tanagermoor.gateway.Promp" +
-      "tParts\022\022\n\nage_millis\030\010 \001(\r\"\222\001\n\013CrashRepo" +
-      "rt\022\016\n\006permit\030\001 \001(\004\022\016\n\006target\030\002 \001(\t\0220\n\006pr" +
-      "ompt\030\003 \001(\0132 .tanagermoor.gateway.PromptP" +
-      "arts\022\027\n\017sent_age_millis\030\004 \001(\r\022\030\n\020broke_a" +
-      "ge_millis\030\005 \001(\r\"\250\002\n\014PermitAnswer\0224\n\004kind" +
-      "\030\001 \001(\0162&.tanagermoor.gateway.PermitAnswe" +
-      "r.Kind\022\016\n\006target\030\002 \001(\t\022\032\n\022retry_after_mi" +
-      "llis\030\003 \001(\r\022\025\n\rleft_permille\030\004 \001(\r\022\016\n\006det" +
-      "ail\030\005 \001(\t\022\r\n\005stamp\030\006 \001(\004\022\023\n\013most_shares\030" +
-      "\007 \001(\010\"k\n\004Kind\022\010\n\004NONE\020\000\022\013\n\007GRANTED\020\001\022\020\n\014" +
-      "RATE_LIMITED\020\002\022\016\n\nOVERLOADED\020\003\022\r\n\tNO_TAR" +
-      "GET\020\004\022\n\n\006RESYNC\020\005\022\017\n\013QUARANTINED\020\006\"\037\n\014Pe" +
-      "rmitRecall\022\017\n\007permits\030\001 \003(\004\")\n\nItemHeade" +
-      "r\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\";\n\013Prompt" +
-      "Parts\022\016\n\006shared\030\001 \003(\t\022\013\n\003own\030\002 \001(\t\022\017\n\007co" +
-      "ntent\030\003 \001(\t\"\245\001\n\007JobItem\022\n\n\002id\030\001 \001(\t\022\014\n\004p" +
-      "ath\030\002 \001(\t\0220\n\007headers\030\003 \003(\0132\037.tanagermoor" +
-      ".gateway.ItemHeader\022\014\n\004body\030\004 \001(\014\022\016\n\006tok" +
-      "ens\030\005 \001(\004\0220\n\006prompt\030\006 \001(\0132 .tanagermoor." +
-      "gateway.PromptParts\"9\n\nJobContent\022+\n\005ite" +
-      "ms\030\001 \003(\0132\034.tanagermoor.gateway.JobItem\"\256" +
-      "\001\n\006JobRow\022\n\n\002id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004h" +
-      "ost\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022\027\n\017accepted_mill" +
-      "is\030\005 \001(\004\022\r\n\005total\030\006 \001(\r\022\020\n\010recorded\030\007 \001(" +
-      "\r\022\r\n\005ended\030\010 \001(\010\022\026\n\016tokens_waiting\030\t \001(\004" +
-      "\022\r\n\005owner\030\n \001(\t\"L\n\nResultPart\022\014\n\004item\030\001 " +
-      "\001(\t\022\021\n\tcompleted\030\002 \001(\010\022\016\n\006output\030\003 \001(\014\022\r" +
-      "\n\005parts\030\004 \001(\r\"R\n\014ItemProgress\022\014\n\004item\030\001 " +
-      "\001(\t\022\022\n\nlast_event\030\002 \001(\004\022\016\n\006output\030\003 \001(\014\022" +
-      "\020\n\010failures\030\004 \001(\rB!\n\035org.tanagermoor.gat" +
-      "eway.protoP\001b\006proto3"
+      "or.gateway.PromptParts\022\r\n\005route\030\r \001(\t\022\016\n" +
+      "\006tokens\030\016 \001(\r\022\020\n\010priority\030\017 \001(\r\"3\n\nPermi" +
+      "tWork\022\016\n\006millis\030\001 \001(\r\022\025\n\rdone_permille\030\002" +
+      " \001(\r\"\326\002\n\014PermitReturn\022\016\n\006permit\030\001 \001(\004\022:\n" +
+      "\007outcome\030\002 \001(\0162).tanagermoor.gateway.Per" +
+      "mitReturn.Outcome\022\025\n\rfailed_answer\030\003 \001(\010" +
+      "\022\032\n\022first_event_millis\030\004 \001(\r\022\016\n\006events\030\005" +
+      " \001(\r\022\022\n\nrun_millis\030\006 \001(\r\022-\n\004load\030\007 \001(\0132\037" +
+      ".tanagermoor.gateway.TargetLoad\"t\n\007Outco" +
+      "me\022\n\n\006UNUSED\020\000\022\n\n\006SERVED\020\001\022\017\n\013UNREACHABL" +
+      "E\020\002\022\010\n\004FULL\020\003\022\n\n\006FAILED\020\004\022\013\n\007CRASHED\020\005\022\r" +
+      "\n\tABANDONED\020\006\022\016\n\nBROKEN_OFF\020\007\"g\n\nTargetL" +
+      "oad\022\017\n\007running\030\001 \001(\r\022\017\n\007waiting\030\002 \001(\r\022\r\n" +
+      "\005slots\030\003 \001(\r\022\024\n\014work_percent\030\004 \001(\r\022\022\n\nag" +
+      "e_millis\030\005 \001(\r\"\317\002\n\nRolloutRow\022\026\n\016order_r" +
+      "evision\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\017\n\007versio" +
+      "n\030\003 \001(\t\022\027\n\017duration_millis\030\004 \001(\004\0224\n\005phas" +
+      "e\030\005 \001(\0162%.tanagermoor.gateway.RolloutRow" +
+      ".Phase\022\016\n\006reason\030\006 \001(\t\022\020\n\010replaced\030\007 \003(\t" +
+      "\022\026\n\016elapsed_millis\030\010 \001(\004\022\024\n\014new_requests" +
+      "\030\t \001(\004\022\027\n\017new_bad_answers\030\n \001(\004\022\016\n\006write" +
+      "r\030\013 \001(\t\"?\n\005Phase\022\n\n\006CANARY\020\000\022\n\n\006MOVING\020\001" +
+      "\022\r\n\tCOMPLETED\020\002\022\017\n\013ROLLED_BACK\020\003\"\331\001\n\nHel" +
+      "dPermit\022\016\n\006permit\030\001 \001(\004\022\017\n\007service\030\002 \001(\t" +
+      "\022\016\n\006target\030\003 \001(\t\022\r\n\005batch\030\004 \001(\010\022\026\n\016on_ti" +
+      "me_millis\030\005 \001(\005\022-\n\004work\030\006 \001(\0132\037.tanagerm" +
+      "oor.gateway.PermitWork\0220\n\006prompt\030\007 \001(\0132 " +
+      ".tanagermoor.gateway.PromptParts\022\022\n\nage_" +
+      "millis\030\010 \001(\r\"\222\001\n\013CrashReport\022\016\n\006permit\030\001" +
+      " \001(\004\022\016\n\006target\030\002 \001(\t\0220\n\006prompt\030\003 \001(\0132 .t" +
+      "anagermoor.gateway.PromptParts\022\027\n\017sent_a" +
+      "ge_millis\030\004 \001(\r\022\030\n\020broke_age_millis\030\005 \001(" +
+      "\r\"\250\002\n\014PermitAnswer\0224\n\004kind\030\001 \001(\0162&.tanag" +
+      "ermoor.gateway.PermitAnswer.Kind\022\016\n\006targ" +
+      "et\030\002 \001(\t\022\032\n\022retry_after_millis\030\003 \001(\r\022\025\n\r" +
+      "left_permille\030\004 \001(\r\022\016\n\006detail\030\005 \001(\t\022\r\n\005s" +
+      "tamp\030\006 \001(\004\022\023\n\013most_shares\030\007 \001(\010\"k\n\004Kind\022" +
+      "\010\n\004NONE\020\000\022\013\n\007GRANTED\020\001\022\020\n\014RATE_LIMITED\020\002" +
+      "\022\016\n\nOVERLOADED\020\003\022\r\n\tNO_TARGET\020\004\022\n\n\006RESYN" +
+      "C\020\005\022\017\n\013QUARANTINED\020\006\"\037\n\014PermitRecall\022\017\n\007" +
+      "permits\030\001 \003(\004\")\n\nItemHeader\022\014\n\004name\030\001 \001(" +
+      "\t\022\r\n\005value\030\002 \001(\t\";\n\013PromptParts\022\016\n\006share" +
+      "d\030\001 \003(\t\022\013\n\003own\030\002 \001(\t\022\017\n\007content\030\003 \001(\t\"\245\001" +
+      "\n\007JobItem\022\n\n\002id\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\0220\n\007h" +
+      "eaders\030\003 \003(\0132\037.tanagermoor.gateway.ItemH" +
+      "eader\022\014\n\004body\030\004 \001(\014\022\016\n\006tokens\030\005 \001(\004\0220\n\006p" +
+      "rompt\030\006 \001(\0132 .tanagermoor.gateway.Prompt" +
+      "Parts\"9\n\nJobContent\022+\n\005items\030\001 \003(\0132\034.tan" +
+      "agermoor.gateway.JobItem\"\256\001\n\006JobRow\022\n\n\002i" +
+      "d\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004p" +
+      "ath\030\004 \001(\t\022\027\n\017accepted_millis\030\005 \001(\004\022\r\n\005to" +
+      "tal\030\006 \001(\r\022\020\n\010recorded\030\007 \001(\r\022\r\n\005ended\030\010 \001" +
+      "(\010\022\026\n\016tokens_waiting\030\t \001(\004\022\r\n\005owner\030\n \001(" +
+      "\t\"L\n\nResultPart\022\014\n\004item\030\001 \001(\t\022\021\n\tcomplet" +
+      "ed\030\002 \001(\010\022\016\n\006output\030\003 \001(\014\022\r\n\005parts\030\004 \001(\r\"" +
+      "R\n\014ItemProgress\022\014\n\004item\030\001 \001(\t\022\022\n\nlast_ev" +
+      "ent\030\002 \001(\004\022\016\n\006output\030\003 \001(\014\022\020\n\010failures\030\004 " +
+      "\001(\rB!\n\035org.tanagermoor.gateway.protoP\001b\006" +
+      "proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -320,7 +346,7 @@
     internal_static_tanagermoor_gateway_PermitAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitAsk_descriptor,
-        new java.lang.String[] { "Permit", "Service", "Team", "Domain", "PromptKey", "WaitMillis", "OnTimeMillis", "Batch", "Excluded", "Returning", "Work", "Prompt", });
+        new java.lang.String[] { "Permit", "Service", "Team", "Domain", "PromptKey", "WaitMillis", "OnTimeMillis", "Batch", "Excluded", "Returning", "Work", "Prompt", "Route", "Tokens", "Priority", });
     internal_static_tanagermoor_gateway_PermitWork_descriptor =
       getDescriptor().getMessageType(12);
     internal_static_tanagermoor_gateway_PermitWork_fieldAccessorTable = new
@@ -332,69 +358,81 @@
     internal_static_tanagermoor_gateway_PermitReturn_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitReturn_descriptor,
-        new java.lang.String[] { "Permit", "Outcome", });
-    internal_static_tanagermoor_gateway_HeldPermit_descriptor =
+        new java.lang.String[] { "Permit", "Outcome", "FailedAnswer", "FirstEventMillis", "Events", "RunMillis", "Load", });
+    internal_static_tanagermoor_gateway_TargetLoad_descriptor =
       getDescriptor().getMessageType(14);
+    internal_static_tanagermoor_gateway_TargetLoad_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagermoor_gateway_TargetLoad_descriptor,
+        new java.lang.String[] { "Running", "Waiting", "Slots", "WorkPercent", "AgeMillis", });
+    internal_static_tanagermoor_gateway_RolloutRow_descriptor =
+      getDescriptor().getMessageType(15);
+    internal_static_tanagermoor_gateway_RolloutRow_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagermoor_gateway_RolloutRow_descriptor,
+        new java.lang.String[] { "OrderRevision", "Service", "Version", "DurationMillis", "Phase", "Reason", "Replaced", "ElapsedMillis", "NewRequests", "NewBadAnswers", "Writer", });
+    internal_static_tanagermoor_gateway_HeldPermit_descriptor =
+      getDescriptor().getMessageType(16);
     internal_static_tanagermoor_gateway_HeldPermit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_HeldPermit_descriptor,
         new java.lang.String[] { "Permit", "Service", "Target", "Batch", "OnTimeMillis", "Work", "Prompt", "AgeMillis", });
     internal_static_tanagermoor_gateway_CrashReport_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(17);
     internal_static_tanagermoor_gateway_CrashReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_CrashReport_descriptor,
         new java.lang.String[] { "Permit", "Target", "Prompt", "SentAgeMillis", "BrokeAgeMillis", });
     internal_static_tanagermoor_gateway_PermitAnswer_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_tanagermoor_gateway_PermitAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitAnswer_descriptor,
         new java.lang.String[] { "Kind", "Target", "RetryAfterMillis", "LeftPermille", "Detail", "Stamp", "MostShares", });
     internal_static_tanagermoor_gateway_PermitRecall_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_tanagermoor_gateway_PermitRecall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitRecall_descriptor,
         new java.lang.String[] { "Permits", });
     internal_static_tanagermoor_gateway_ItemHeader_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(20);
     internal_static_tanagermoor_gateway_ItemHeader_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ItemHeader_descriptor,
         new java.lang.String[] { "Name", "Value", });
     internal_static_tanagermoor_gateway_PromptParts_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(21);
     internal_static_tanagermoor_gateway_PromptParts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PromptParts_descriptor,
         new java.lang.String[] { "Shared", "Own", "Content", });
     internal_static_tanagermoor_gateway_JobItem_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(22);
     internal_static_tanagermoor_gateway_JobItem_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_JobItem_descriptor,
         new java.lang.String[] { "Id", "Path", "Headers", "Body", "Tokens", "Prompt", });
     internal_static_tanagermoor_gateway_JobContent_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(23);
     internal_static_tanagermoor_gateway_JobContent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_JobContent_descriptor,
         new java.lang.String[] { "Items", });
     internal_static_tanagermoor_gateway_JobRow_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(24);
     internal_static_tanagermoor_gateway_JobRow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_JobRow_descriptor,
         new java.lang.String[] { "Id", "Team", "Host", "Path", "AcceptedMillis", "Total", "Recorded", "Ended", "TokensWaiting", "Owner", });
     internal_static_tanagermoor_gateway_ResultPart_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(25);
     internal_static_tanagermoor_gateway_ResultPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ResultPart_descriptor,
         new java.lang.String[] { "Item", "Completed", "Output", "Parts", });
     internal_static_tanagermoor_gateway_ItemProgress_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(26);
     internal_static_tanagermoor_gateway_ItemProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ItemProgress_descriptor,
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAsk.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAsk.java
@@ -33,6 +33,7 @@
     domain_ = "";
     excluded_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    route_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -346,6 +347,83 @@
     return prompt_ == null ? org.tanagermoor.gateway.proto.PromptParts.getDefaultInstance() : prompt_;
   }
 
+  public static final int ROUTE_FIELD_NUMBER = 13;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object route_ = "";
+  /**
+   * <pre>
+   * The name of the route; empty if it is unknown.
+   * </pre>
+   *
+   * <code>string route = 13;</code>
+   * @return The route.
+   */
+  @java.lang.Override
+  public java.lang.String getRoute() {
+    java.lang.Object ref = route_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      route_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The name of the route; empty if it is unknown.
+   * </pre>
+   *
+   * <code>string route = 13;</code>
+   * @return The bytes for route.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getRouteBytes() {
+    java.lang.Object ref = route_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      route_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int TOKENS_FIELD_NUMBER = 14;
+  private int tokens_ = 0;
+  /**
+   * <pre>
+   * The tokens of the prompt and the maximum number of output tokens together; 0 if they are unknown.
+   * </pre>
+   *
+   * <code>uint32 tokens = 14;</code>
+   * @return The tokens.
+   */
+  @java.lang.Override
+  public int getTokens() {
+    return tokens_;
+  }
+
+  public static final int PRIORITY_FIELD_NUMBER = 15;
+  private int priority_ = 0;
+  /**
+   * <pre>
+   * The rank of the request plus one, where rank 0 is served first; 0 if it is unknown.
+   * </pre>
+   *
+   * <code>uint32 priority = 15;</code>
+   * @return The priority.
+   */
+  @java.lang.Override
+  public int getPriority() {
+    return priority_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -396,6 +474,15 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(12, getPrompt());
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(route_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 13, route_);
+    }
+    if (tokens_ != 0) {
+      output.writeUInt32(14, tokens_);
+    }
+    if (priority_ != 0) {
+      output.writeUInt32(15, priority_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -449,6 +536,17 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(12, getPrompt());
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(route_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(13, route_);
+    }
+    if (tokens_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(14, tokens_);
+    }
+    if (priority_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(15, priority_);
+    }
     return size;
   }
   @java.lang.Override
@@ -503,6 +601,12 @@
       if (!getPrompt()
           .equals(other.getPrompt())) return false;
     }
+    if (!getRoute()
+        .equals(other.getRoute())) return false;
+    if (getTokens()
+        != other.getTokens()) return false;
+    if (getPriority()
+        != other.getPriority()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -548,6 +652,12 @@
       hash = (37 * hash) + PROMPT_FIELD_NUMBER;
       hash = (53 * hash) + getPrompt().hashCode();
     }
+    hash = (37 * hash) + ROUTE_FIELD_NUMBER;
+    hash = (53 * hash) + getRoute().hashCode();
+    hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + getTokens();
+    hash = (37 * hash) + PRIORITY_FIELD_NUMBER;
+    hash = (53 * hash) + getPriority();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -707,6 +817,9 @@
         promptBuilder_.dispose();
         promptBuilder_ = null;
       }
+      route_ = "";
+      tokens_ = 0;
+      priority_ = 0;
       return this;
     }
 
@@ -784,6 +897,15 @@
             : promptBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.route_ = route_;
+      }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.tokens_ = tokens_;
+      }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.priority_ = priority_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -848,6 +970,17 @@
       if (other.hasPrompt()) {
         mergePrompt(other.getPrompt());
       }
+      if (!other.getRoute().isEmpty()) {
+        route_ = other.route_;
+        bitField0_ |= 0x00001000;
+        onChanged();
+      }
+      if (other.getTokens() != 0) {
+        setTokens(other.getTokens());
+      }
+      if (other.getPriority() != 0) {
+        setPriority(other.getPriority());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -936,6 +1069,21 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 98
+            case 106: {
+              route_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 106
+            case 112: {
+              tokens_ = input.readUInt32();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
+            case 120: {
+              priority_ = input.readUInt32();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 120
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1766,6 +1914,186 @@
       return promptBuilder_;
     }
 
+    private java.lang.Object route_ = "";
+    /**
+     * <pre>
+     * The name of the route; empty if it is unknown.
+     * </pre>
+     *
+     * <code>string route = 13;</code>
+     * @return The route.
+     */
+    public java.lang.String getRoute() {
+      java.lang.Object ref = route_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        route_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The name of the route; empty if it is unknown.
+     * </pre>
+     *
+     * <code>string route = 13;</code>
+     * @return The bytes for route.
+     */
+    public com.google.protobuf.ByteString
+        getRouteBytes() {
+      java.lang.Object ref = route_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        route_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The name of the route; empty if it is unknown.
+     * </pre>
+     *
+     * <code>string route = 13;</code>
+     * @param value The route to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRoute(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      route_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The name of the route; empty if it is unknown.
+     * </pre>
+     *
+     * <code>string route = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRoute() {
+      route_ = getDefaultInstance().getRoute();
+      bitField0_ = (bitField0_ & ~0x00001000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The name of the route; empty if it is unknown.
+     * </pre>
+     *
+     * <code>string route = 13;</code>
+     * @param value The bytes for route to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRouteBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      route_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+
+    private int tokens_ ;
+    /**
+     * <pre>
+     * The tokens of the prompt and the maximum number of output tokens together; 0 if they are unknown.
+     * </pre>
+     *
+     * <code>uint32 tokens = 14;</code>
+     * @return The tokens.
+     */
+    @java.lang.Override
+    public int getTokens() {
+      return tokens_;
+    }
+    /**
+     * <pre>
+     * The tokens of the prompt and the maximum number of output tokens together; 0 if they are unknown.
+     * </pre>
+     *
+     * <code>uint32 tokens = 14;</code>
+     * @param value The tokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTokens(int value) {
+
+      tokens_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The tokens of the prompt and the maximum number of output tokens together; 0 if they are unknown.
+     * </pre>
+     *
+     * <code>uint32 tokens = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTokens() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      tokens_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int priority_ ;
+    /**
+     * <pre>
+     * The rank of the request plus one, where rank 0 is served first; 0 if it is unknown.
+     * </pre>
+     *
+     * <code>uint32 priority = 15;</code>
+     * @return The priority.
+     */
+    @java.lang.Override
+    public int getPriority() {
+      return priority_;
+    }
+    /**
+     * <pre>
+     * The rank of the request plus one, where rank 0 is served first; 0 if it is unknown.
+     * </pre>
+     *
+     * <code>uint32 priority = 15;</code>
+     * @param value The priority to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPriority(int value) {
+
+      priority_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The rank of the request plus one, where rank 0 is served first; 0 if it is unknown.
+     * </pre>
+     *
+     * <code>uint32 priority = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPriority() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      priority_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.PermitAsk)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAskOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAskOrBuilder.java
@@ -156,4 +156,44 @@
    * <code>.tanagermoor.gateway.PromptParts prompt = 12;</code>
    */
   org.tanagermoor.gateway.proto.PromptPartsOrBuilder getPromptOrBuilder();
+
+  /**
+   * <pre>
+   * The name of the route; empty if it is unknown.
+   * </pre>
+   *
+   * <code>string route = 13;</code>
+   * @return The route.
+   */
+  java.lang.String getRoute();
+  /**
+   * <pre>
+   * The name of the route; empty if it is unknown.
+   * </pre>
+   *
+   * <code>string route = 13;</code>
+   * @return The bytes for route.
+   */
+  com.google.protobuf.ByteString
+      getRouteBytes();
+
+  /**
+   * <pre>
+   * The tokens of the prompt and the maximum number of output tokens together; 0 if they are unknown.
+   * </pre>
+   *
+   * <code>uint32 tokens = 14;</code>
+   * @return The tokens.
+   */
+  int getTokens();
+
+  /**
+   * <pre>
+   * The rank of the request plus one, where rank 0 is served first; 0 if it is unknown.
+   * </pre>
+   *
+   * <code>uint32 priority = 15;</code>
+   * @return The priority.
+   */
+  int getPriority();
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitReturn.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitReturn.java
@@ -220,6 +220,7 @@
     // @@protoc_insertion_point(enum_scope:tanagermoor.gateway.PermitReturn.Outcome)
   }
 
+  private int bitField0_;
   public static final int PERMIT_FIELD_NUMBER = 1;
   private long permit_ = 0L;
   /**
@@ -249,6 +250,104 @@
     return result == null ? org.tanagermoor.gateway.proto.PermitReturn.Outcome.UNRECOGNIZED : result;
   }
 
+  public static final int FAILED_ANSWER_FIELD_NUMBER = 3;
+  private boolean failedAnswer_ = false;
+  /**
+   * <pre>
+   * Whether the target answered with a failure.
+   * </pre>
+   *
+   * <code>bool failed_answer = 3;</code>
+   * @return The failedAnswer.
+   */
+  @java.lang.Override
+  public boolean getFailedAnswer() {
+    return failedAnswer_;
+  }
+
+  public static final int FIRST_EVENT_MILLIS_FIELD_NUMBER = 4;
+  private int firstEventMillis_ = 0;
+  /**
+   * <pre>
+   * The time from the request to the first event, in milliseconds; 0 if it is unknown.
+   * </pre>
+   *
+   * <code>uint32 first_event_millis = 4;</code>
+   * @return The firstEventMillis.
+   */
+  @java.lang.Override
+  public int getFirstEventMillis() {
+    return firstEventMillis_;
+  }
+
+  public static final int EVENTS_FIELD_NUMBER = 5;
+  private int events_ = 0;
+  /**
+   * <pre>
+   * The number of events that this run received.
+   * </pre>
+   *
+   * <code>uint32 events = 5;</code>
+   * @return The events.
+   */
+  @java.lang.Override
+  public int getEvents() {
+    return events_;
+  }
+
+  public static final int RUN_MILLIS_FIELD_NUMBER = 6;
+  private int runMillis_ = 0;
+  /**
+   * <pre>
+   * The time from the request to the end of the run, in milliseconds; 0 if it is unknown.
+   * </pre>
+   *
+   * <code>uint32 run_millis = 6;</code>
+   * @return The runMillis.
+   */
+  @java.lang.Override
+  public int getRunMillis() {
+    return runMillis_;
+  }
+
+  public static final int LOAD_FIELD_NUMBER = 7;
+  private org.tanagermoor.gateway.proto.TargetLoad load_;
+  /**
+   * <pre>
+   * The load that the target last stated in an answer of this run.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.TargetLoad load = 7;</code>
+   * @return Whether the load field is set.
+   */
+  @java.lang.Override
+  public boolean hasLoad() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * The load that the target last stated in an answer of this run.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.TargetLoad load = 7;</code>
+   * @return The load.
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.TargetLoad getLoad() {
+    return load_ == null ? org.tanagermoor.gateway.proto.TargetLoad.getDefaultInstance() : load_;
+  }
+  /**
+   * <pre>
+   * The load that the target last stated in an answer of this run.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.TargetLoad load = 7;</code>
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.TargetLoadOrBuilder getLoadOrBuilder() {
+    return load_ == null ? org.tanagermoor.gateway.proto.TargetLoad.getDefaultInstance() : load_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -269,6 +368,21 @@
     if (outcome_ != org.tanagermoor.gateway.proto.PermitReturn.Outcome.UNUSED.getNumber()) {
       output.writeEnum(2, outcome_);
     }
+    if (failedAnswer_ != false) {
+      output.writeBool(3, failedAnswer_);
+    }
+    if (firstEventMillis_ != 0) {
+      output.writeUInt32(4, firstEventMillis_);
+    }
+    if (events_ != 0) {
+      output.writeUInt32(5, events_);
+    }
+    if (runMillis_ != 0) {
+      output.writeUInt32(6, runMillis_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(7, getLoad());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -281,6 +395,26 @@
       size += com.google.protobuf.CodedOutputStream
         .computeEnumSize(2, outcome_);
     }
+    if (failedAnswer_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(3, failedAnswer_);
+    }
+    if (firstEventMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(4, firstEventMillis_);
+    }
+    if (events_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(5, events_);
+    }
+    if (runMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(6, runMillis_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, getLoad());
+    }
     return size;
   }
   @java.lang.Override
@@ -308,6 +442,19 @@
     if (getPermit()
         != other.getPermit()) return false;
     if (outcome_ != other.outcome_) return false;
+    if (getFailedAnswer()
+        != other.getFailedAnswer()) return false;
+    if (getFirstEventMillis()
+        != other.getFirstEventMillis()) return false;
+    if (getEvents()
+        != other.getEvents()) return false;
+    if (getRunMillis()
+        != other.getRunMillis()) return false;
+    if (hasLoad() != other.hasLoad()) return false;
+    if (hasLoad()) {
+      if (!getLoad()
+          .equals(other.getLoad())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -324,6 +471,19 @@
         getPermit());
     hash = (37 * hash) + OUTCOME_FIELD_NUMBER;
     hash = (53 * hash) + outcome_;
+    hash = (37 * hash) + FAILED_ANSWER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getFailedAnswer());
+    hash = (37 * hash) + FIRST_EVENT_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getFirstEventMillis();
+    hash = (37 * hash) + EVENTS_FIELD_NUMBER;
+    hash = (53 * hash) + getEvents();
+    hash = (37 * hash) + RUN_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getRunMillis();
+    if (hasLoad()) {
+      hash = (37 * hash) + LOAD_FIELD_NUMBER;
+      hash = (53 * hash) + getLoad().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -443,13 +603,19 @@
 
     // Construct using org.tanagermoor.gateway.proto.PermitReturn.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetLoadFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -457,6 +623,15 @@
       bitField0_ = 0;
       permit_ = 0L;
       outcome_ = 0;
+      failedAnswer_ = false;
+      firstEventMillis_ = 0;
+      events_ = 0;
+      runMillis_ = 0;
+      load_ = null;
+      if (loadBuilder_ != null) {
+        loadBuilder_.dispose();
+        loadBuilder_ = null;
+      }
       return this;
     }
 
@@ -496,6 +671,26 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.outcome_ = outcome_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.failedAnswer_ = failedAnswer_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.firstEventMillis_ = firstEventMillis_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.events_ = events_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.runMillis_ = runMillis_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.load_ = loadBuilder_ == null
+            ? load_
+            : loadBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -516,6 +711,21 @@
       if (other.outcome_ != 0) {
         setOutcomeValue(other.getOutcomeValue());
       }
+      if (other.getFailedAnswer() != false) {
+        setFailedAnswer(other.getFailedAnswer());
+      }
+      if (other.getFirstEventMillis() != 0) {
+        setFirstEventMillis(other.getFirstEventMillis());
+      }
+      if (other.getEvents() != 0) {
+        setEvents(other.getEvents());
+      }
+      if (other.getRunMillis() != 0) {
+        setRunMillis(other.getRunMillis());
+      }
+      if (other.hasLoad()) {
+        mergeLoad(other.getLoad());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -550,6 +760,33 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              failedAnswer_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 32: {
+              firstEventMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 40: {
+              events_ = input.readUInt32();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 48: {
+              runMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 58: {
+              input.readMessage(
+                  internalGetLoadFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -651,6 +888,337 @@
       return this;
     }
 
+    private boolean failedAnswer_ ;
+    /**
+     * <pre>
+     * Whether the target answered with a failure.
+     * </pre>
+     *
+     * <code>bool failed_answer = 3;</code>
+     * @return The failedAnswer.
+     */
+    @java.lang.Override
+    public boolean getFailedAnswer() {
+      return failedAnswer_;
+    }
+    /**
+     * <pre>
+     * Whether the target answered with a failure.
+     * </pre>
+     *
+     * <code>bool failed_answer = 3;</code>
+     * @param value The failedAnswer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFailedAnswer(boolean value) {
+
+      failedAnswer_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the target answered with a failure.
+     * </pre>
+     *
+     * <code>bool failed_answer = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFailedAnswer() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      failedAnswer_ = false;
+      onChanged();
+      return this;
+    }
+
+    private int firstEventMillis_ ;
+    /**
+     * <pre>
+     * The time from the request to the first event, in milliseconds; 0 if it is unknown.
+     * </pre>
+     *
+     * <code>uint32 first_event_millis = 4;</code>
+     * @return The firstEventMillis.
+     */
+    @java.lang.Override
+    public int getFirstEventMillis() {
+      return firstEventMillis_;
+    }
+    /**
+     * <pre>
+     * The time from the request to the first event, in milliseconds; 0 if it is unknown.
+     * </pre>
+     *
+     * <code>uint32 first_event_millis = 4;</code>
+     * @param value The firstEventMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFirstEventMillis(int value) {
+
+      firstEventMillis_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The time from the request to the first event, in milliseconds; 0 if it is unknown.
+     * </pre>
+     *
+     * <code>uint32 first_event_millis = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFirstEventMillis() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      firstEventMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int events_ ;
+    /**
+     * <pre>
+     * The number of events that this run received.
+     * </pre>
+     *
+     * <code>uint32 events = 5;</code>
+     * @return The events.
+     */
+    @java.lang.Override
+    public int getEvents() {
+      return events_;
+    }
+    /**
+     * <pre>
+     * The number of events that this run received.
+     * </pre>
+     *
+     * <code>uint32 events = 5;</code>
+     * @param value The events to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEvents(int value) {
+
+      events_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The number of events that this run received.
+     * </pre>
+     *
+     * <code>uint32 events = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEvents() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      events_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int runMillis_ ;
+    /**
+     * <pre>
+     * The time from the request to the end of the run, in milliseconds; 0 if it is unknown.
+     * </pre>
+     *
+     * <code>uint32 run_millis = 6;</code>
+     * @return The runMillis.
+     */
+    @java.lang.Override
+    public int getRunMillis() {
+      return runMillis_;
+    }
+    /**
+     * <pre>
+     * The time from the request to the end of the run, in milliseconds; 0 if it is unknown.
+     * </pre>
+     *
+     * <code>uint32 run_millis = 6;</code>
+     * @param value The runMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRunMillis(int value) {
+
+      runMillis_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The time from the request to the end of the run, in milliseconds; 0 if it is unknown.
+     * </pre>
+     *
+     * <code>uint32 run_millis = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRunMillis() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      runMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private org.tanagermoor.gateway.proto.TargetLoad load_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tanagermoor.gateway.proto.TargetLoad, org.tanagermoor.gateway.proto.TargetLoad.Builder, org.tanagermoor.gateway.proto.TargetLoadOrBuilder> loadBuilder_;
+    /**
+     * <pre>
+     * The load that the target last stated in an answer of this run.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLoad load = 7;</code>
+     * @return Whether the load field is set.
+     */
+    public boolean hasLoad() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <pre>
+     * The load that the target last stated in an answer of this run.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLoad load = 7;</code>
+     * @return The load.
+     */
+    public org.tanagermoor.gateway.proto.TargetLoad getLoad() {
+      if (loadBuilder_ == null) {
+        return load_ == null ? org.tanagermoor.gateway.proto.TargetLoad.getDefaultInstance() : load_;
+      } else {
+        return loadBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * The load that the target last stated in an answer of this run.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLoad load = 7;</code>
+     */
+    public Builder setLoad(org.tanagermoor.gateway.proto.TargetLoad value) {
+      if (loadBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        load_ = value;
+      } else {
+        loadBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The load that the target last stated in an answer of this run.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLoad load = 7;</code>
+     */
+    public Builder setLoad(
+        org.tanagermoor.gateway.proto.TargetLoad.Builder builderForValue) {
+      if (loadBuilder_ == null) {
+        load_ = builderForValue.build();
+      } else {
+        loadBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The load that the target last stated in an answer of this run.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLoad load = 7;</code>
+     */
+    public Builder mergeLoad(org.tanagermoor.gateway.proto.TargetLoad value) {
+      if (loadBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0) &&
+          load_ != null &&
+          load_ != org.tanagermoor.gateway.proto.TargetLoad.getDefaultInstance()) {
+          getLoadBuilder().mergeFrom(value);
+        } else {
+          load_ = value;
+        }
+      } else {
+        loadBuilder_.mergeFrom(value);
+      }
+      if (load_ != null) {
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The load that the target last stated in an answer of this run.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLoad load = 7;</code>
+     */
+    public Builder clearLoad() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      load_ = null;
+      if (loadBuilder_ != null) {
+        loadBuilder_.dispose();
+        loadBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The load that the target last stated in an answer of this run.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLoad load = 7;</code>
+     */
+    public org.tanagermoor.gateway.proto.TargetLoad.Builder getLoadBuilder() {
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return internalGetLoadFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * The load that the target last stated in an answer of this run.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLoad load = 7;</code>
+     */
+    public org.tanagermoor.gateway.proto.TargetLoadOrBuilder getLoadOrBuilder() {
+      if (loadBuilder_ != null) {
+        return loadBuilder_.getMessageOrBuilder();
+      } else {
+        return load_ == null ?
+            org.tanagermoor.gateway.proto.TargetLoad.getDefaultInstance() : load_;
+      }
+    }
+    /**
+     * <pre>
+     * The load that the target last stated in an answer of this run.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLoad load = 7;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tanagermoor.gateway.proto.TargetLoad, org.tanagermoor.gateway.proto.TargetLoad.Builder, org.tanagermoor.gateway.proto.TargetLoadOrBuilder> 
+        internalGetLoadFieldBuilder() {
+      if (loadBuilder_ == null) {
+        loadBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.tanagermoor.gateway.proto.TargetLoad, org.tanagermoor.gateway.proto.TargetLoad.Builder, org.tanagermoor.gateway.proto.TargetLoadOrBuilder>(
+                getLoad(),
+                getParentForChildren(),
+                isClean());
+        load_ = null;
+      }
+      return loadBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.PermitReturn)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitReturnOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitReturnOrBuilder.java
@@ -26,4 +26,71 @@
    * @return The outcome.
    */
   org.tanagermoor.gateway.proto.PermitReturn.Outcome getOutcome();
+
+  /**
+   * <pre>
+   * Whether the target answered with a failure.
+   * </pre>
+   *
+   * <code>bool failed_answer = 3;</code>
+   * @return The failedAnswer.
+   */
+  boolean getFailedAnswer();
+
+  /**
+   * <pre>
+   * The time from the request to the first event, in milliseconds; 0 if it is unknown.
+   * </pre>
+   *
+   * <code>uint32 first_event_millis = 4;</code>
+   * @return The firstEventMillis.
+   */
+  int getFirstEventMillis();
+
+  /**
+   * <pre>
+   * The number of events that this run received.
+   * </pre>
+   *
+   * <code>uint32 events = 5;</code>
+   * @return The events.
+   */
+  int getEvents();
+
+  /**
+   * <pre>
+   * The time from the request to the end of the run, in milliseconds; 0 if it is unknown.
+   * </pre>
+   *
+   * <code>uint32 run_millis = 6;</code>
+   * @return The runMillis.
+   */
+  int getRunMillis();
+
+  /**
+   * <pre>
+   * The load that the target last stated in an answer of this run.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.TargetLoad load = 7;</code>
+   * @return Whether the load field is set.
+   */
+  boolean hasLoad();
+  /**
+   * <pre>
+   * The load that the target last stated in an answer of this run.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.TargetLoad load = 7;</code>
+   * @return The load.
+   */
+  org.tanagermoor.gateway.proto.TargetLoad getLoad();
+  /**
+   * <pre>
+   * The load that the target last stated in an answer of this run.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.TargetLoad load = 7;</code>
+   */
+  org.tanagermoor.gateway.proto.TargetLoadOrBuilder getLoadOrBuilder();
 }
