--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/target/FairQueue.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/target/FairQueue.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
@@ -29,11 +27,11 @@
 
     private final TreeSet<Entry<W>> entries = new TreeSet<>(SERVICE_ORDER);
 
-    /** The virtual finish time of the last entry, by class of requests and team. */
-    private final Map<Flow, Double> lastFinishes = new HashMap<>();
+    /** The virtual times of the online requests, by team. */
+    private final VirtualTimes<TeamId> online = VirtualTimes.of();
 
-    /** The virtual time by class of requests: the virtual start time of the entry that was served last. */
-    private final double[] virtualTimes = new double[2];
+    /** The virtual times of the batch requests, by team. */
+    private final VirtualTimes<TeamId> batches = VirtualTimes.of();
 
     /** The sequence number of the last entry. */
     private long sequence;
@@ -65,10 +63,8 @@
      * @return The displaced element, which may be the new one, or an empty list.
      */
     public List<W> offer(TeamId team, double weight, boolean batch, long deadline, W waiter) {
-        Flow flow = new Flow(team, batch);
-        double start = Math.max(virtualTimes[batch ? 1 : 0], lastFinishes.getOrDefault(flow, 0.0));
-        lastFinishes.put(flow, start + 1 / weight);
-        entries.add(new Entry<>(flow, start, start + 1 / weight, ++sequence, deadline, waiter));
+        double start = times(batch).add(team, 1 / weight);
+        entries.add(new Entry<>(team, batch, start, 1 / weight, ++sequence, deadline, waiter));
         if (entries.size() <= capacity) {
             return List.of();
         }
@@ -88,8 +84,7 @@
         for (Entry<W> entry : entries) {
             if (servable.test(entry.waiter())) {
                 entries.remove(entry);
-                int index = entry.batch() ? 1 : 0;
-                virtualTimes[index] = Math.max(virtualTimes[index], entry.start());
+                times(entry.batch()).served(entry.start());
                 return entry.waiter();
             }
         }
@@ -152,32 +147,25 @@
      */
     private void remove(Entry<W> entry) {
         entries.remove(entry);
-        lastFinishes.replace(entry.flow(), entry.finish(), entry.start());
+        times(entry.batch()).withdrawn(entry.team(), entry.start(), entry.cost());
     }
 
-    /**
-     * The entries of one class of requests and one team.
-     *
-     * @param team The team.
-     * @param batch Whether they are batch requests.
-     */
-    private record Flow(TeamId team, boolean batch) {}
+    private VirtualTimes<TeamId> times(boolean batch) {
+        return batch ? batches : online;
+    }
 
     /**
      * A queued element with its position in virtual time.
      *
      * @param <V> The type of the queued element.
-     * @param flow The class of requests and the team.
+     * @param team The team.
+     * @param batch Whether it is a batch request.
      * @param start The virtual start time.
-     * @param finish The virtual finish time.
+     * @param cost The difference between its virtual finish and start times.
      * @param sequence The number in the order of arrival.
      * @param deadline The latest monotonic time in nanoseconds at which serving the entry is useful.
      * @param waiter The queued element.
      */
-    private record Entry<V>(Flow flow, double start, double finish, long sequence, long deadline, V waiter) {
-
-        boolean batch() {
-            return flow.batch();
-        }
-    }
+    private record Entry<V>(
+            TeamId team, boolean batch, double start, double cost, long sequence, long deadline, V waiter) {}
 }
--- /dev/null
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/target/TargetPace.java
@@ -0,0 +1,135 @@
+package org.tanagermoor.policy.target;
+
+import java.time.Duration;
+
+/**
+ * How many requests a target may have in progress, found from how it answers. Designed for targets that have just
+ * started or recovered: they are neither flooded, which makes their first answers late, nor left idle while others are
+ * full. A target starts with one request; each answer in time admits one more, so that the number doubles with each
+ * round of answers. An answer that is late halves it, and a failure ends the attempt: the next one begins after a pause
+ * that doubles, with a single request again. Not thread-safe.
+ */
+public final class TargetPace {
+
+    /** The number of requests with which a target starts. */
+    private static final double INITIAL_REQUESTS = 1;
+
+    /** The pause after a first failure in nanoseconds, well below the time in which a target starts again. */
+    private static final long FIRST_PAUSE_NANOS = Duration.ofMillis(250).toNanos();
+
+    /** The maximum number of doublings of the pause, up to 4 s, so that a target is found within 5 s of its return. */
+    private static final int MAX_DOUBLINGS = 4;
+
+    /**
+     * The time to the first event, relative to that of the service, from which an answer is late: above the variation
+     * between requests, and below what makes answers late for callers.
+     */
+    private static final double LATE_FACTOR = 2;
+
+    /** The minimum time between two halvings in nanoseconds; answers that were in progress together count once. */
+    private static final long HALVING_NANOS = Duration.ofMillis(200).toNanos();
+
+    /** The number of consecutive attempts that count, so that the next attempts of a bad target grow more slowly. */
+    private static final int MAX_ATTEMPTS = 8;
+
+    /** The number of requests that the target may have in progress. */
+    private double requests;
+
+    /** Whether the target has been found to answer as usual with all its places in use. */
+    private boolean full;
+
+    /** The number of attempts that ended with a failure since the target last was full. */
+    private int failedAttempts;
+
+    /** The monotonic time in nanoseconds until which the target gets no request. */
+    private long pausedUntil;
+
+    /** The monotonic time in nanoseconds of the last halving. */
+    private long halvedAt;
+
+    private TargetPace(boolean full, double requests, long now) {
+        this.full = full;
+        this.requests = requests;
+        pausedUntil = now;
+        halvedAt = now - HALVING_NANOS;
+    }
+
+    /**
+     * Returns the pace of a target that has just started.
+     *
+     * @param now The current monotonic time in nanoseconds.
+     */
+    public static TargetPace ofStart(long now) {
+        return new TargetPace(false, INITIAL_REQUESTS, now);
+    }
+
+    /**
+     * Returns the pace of a target that is known to be in use, whose requests are not limited.
+     *
+     * @param now The current monotonic time in nanoseconds.
+     */
+    public static TargetPace ofFull(long now) {
+        return new TargetPace(true, INITIAL_REQUESTS, now);
+    }
+
+    /** Returns whether the pace does not limit the target. */
+    public boolean full() {
+        return full;
+    }
+
+    /**
+     * Returns how many requests the target may have in progress.
+     *
+     * @param capacity The number of places of the target.
+     * @param now The current monotonic time in nanoseconds.
+     * @return The number, from 0 during a pause to the capacity.
+     */
+    public int allowed(int capacity, long now) {
+        if (now - pausedUntil < 0) {
+            return 0;
+        }
+        return full ? capacity : Math.min(capacity, (int) requests);
+    }
+
+    /**
+     * Records an answer.
+     *
+     * @param firstEventNanos The time to its first event, in nanoseconds; 0 if it is unknown.
+     * @param usualNanos The usual time to the first event at the targets of the service, in nanoseconds; 0 if it is
+     *     unknown.
+     * @param capacity The number of places of the target.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    public void answered(long firstEventNanos, long usualNanos, int capacity, long now) {
+        if (full || now - pausedUntil < 0) {
+            return;
+        }
+        if (firstEventNanos > 0 && usualNanos > 0 && firstEventNanos > LATE_FACTOR * usualNanos) {
+            if (now - halvedAt >= HALVING_NANOS) {
+                halvedAt = now;
+                requests = Math.max(INITIAL_REQUESTS, requests / 2);
+            }
+            return;
+        }
+        requests += 1.0 / (1 + failedAttempts);
+        if (requests >= capacity) {
+            full = true;
+            failedAttempts = 0;
+        }
+    }
+
+    /**
+     * Records that the target failed requests, could not be reached, or left the service.
+     *
+     * @param now The current monotonic time in nanoseconds.
+     */
+    public void failed(long now) {
+        if (now - pausedUntil < 0) {
+            return;
+        }
+        pausedUntil = now + (FIRST_PAUSE_NANOS << Math.min(failedAttempts, MAX_DOUBLINGS));
+        failedAttempts = Math.min(MAX_ATTEMPTS, failedAttempts + 1);
+        requests = INITIAL_REQUESTS;
+        full = false;
+    }
+}
