Report how targets answered, their load and the kind of each request to the dispatcher

The dispatcher learnt of a run only its outcome. A roll-out compares versions by failed and slow answers on each route, and competing load needs the load that targets state and the priority and size of requests.

- RunMeter measures each run of OnlineCall and ItemRun.
Its RunAnswer goes with the outcome through DispatchClient and DispatchCodec to Dispatcher.release.
- RequestTraits gives the dispatcher the route, the tokens and the priority of an ask.
HeldPermit carries the route, so that a run is attributed to its route after a change of the dispatcher.
- An instance whose report of its places failed reports again, also when it has no places.

No decision changes yet.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Ask.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Ask.java
@@ -21,6 +21,7 @@
  * @param returning Whether the caller was refused before and tries again.
  * @param excluded The identities of targets that must not be chosen.
  * @param prompt The parts of the prompt; {@link Prompt#NONE} if they are unknown.
+ * @param traits The route, size and priority of the request.
  */
 public record Ask(
         String holder,
@@ -35,7 +36,8 @@
         boolean batch,
         boolean returning,
         Set<String> excluded,
-        Prompt prompt) {
+        Prompt prompt,
+        RequestTraits traits) {
 
     /** Creates an ask of a request whose prompt is unknown. */
     public Ask(
@@ -64,7 +66,8 @@
                 batch,
                 returning,
                 excluded,
-                Prompt.NONE);
+                Prompt.NONE,
+                RequestTraits.NONE);
     }
 
     /** Returns this ask with the parts of its prompt. */
@@ -82,6 +85,26 @@
                 batch,
                 returning,
                 excluded,
+                value,
+                traits);
+    }
+
+    /** Returns this ask with the route, size and priority of its request. */
+    public Ask withTraits(RequestTraits value) {
+        return new Ask(
+                holder,
+                permit,
+                service,
+                team,
+                domain,
+                promptKey,
+                waitNanos,
+                onTimeNanos,
+                work,
+                batch,
+                returning,
+                excluded,
+                prompt,
                 value);
     }
 
@@ -100,6 +123,7 @@
                 batch,
                 returning,
                 excluded,
-                prompt);
+                prompt,
+                traits);
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
@@ -21,7 +21,6 @@
 import org.tanagermoor.gateway.proto.PermitAnswer;
 import org.tanagermoor.gateway.proto.PermitCall;
 import org.tanagermoor.gateway.proto.PermitRecall;
-import org.tanagermoor.gateway.proto.PermitReturn;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.kernel.time.TimeSource;
@@ -91,8 +90,8 @@
     /** The asks that are pending or granted, by the number of the permit. */
     private final Map<Long, Placement> placements = new HashMap<>();
 
-    /** The outcomes of returned permits that the dispatcher has not been told of, by the number of the permit. */
-    private final Map<Long, PlaceOutcome> pendingReturns = new HashMap<>();
+    /** The ends of returned permits that the dispatcher has not been told of, by the number of the permit. */
+    private final Map<Long, PlaceEnd> pendingReturns = new HashMap<>();
 
     /** What a new dispatcher is told about targets that crashed under requests of this instance. */
     private final CrashReports crashReports = CrashReports.of();
@@ -213,15 +212,26 @@
      * @param outcome How the use of the place ended.
      */
     public void release(long permit, PlaceOutcome outcome) {
+        release(permit, outcome, RunAnswer.NONE);
+    }
+
+    /**
+     * Returns a permit, or cancels an ask.
+     *
+     * @param permit The number of the permit.
+     * @param outcome How the use of the place ended.
+     * @param answer How the target answered.
+     */
+    public void release(long permit, PlaceOutcome outcome, RunAnswer answer) {
         Placement placement = placements.remove(permit);
         if (placement == null) {
             return;
         }
         remember(placement, outcome);
         if (placement.local) {
-            localServer.dispatcher().release(self, permit, outcome, time.nanos());
+            localServer.dispatcher().release(self, permit, outcome, answer, time.nanos());
         } else {
-            pendingReturns.put(permit, outcome);
+            pendingReturns.put(permit, new PlaceEnd(outcome, answer));
             scheduleReturns();
         }
     }
@@ -333,6 +343,8 @@
             placesReported = !placements.isEmpty();
             call(dispatcher, PermitCall.newBuilder(), true, result -> {
                 if (result.isLeft()) {
+                    // An instance without places would not report again, and the dispatcher may wait for its report.
+                    placesReported = true;
                     dispatcherSilent(dispatcher, result.getLeft());
                 }
             });
@@ -385,7 +397,7 @@
             }
             if (result.isLeft()) {
                 dispatcherSilent(dispatcher, result.getLeft());
-                pendingReturns.put(placement.ask.permit(), PlaceOutcome.UNUSED);
+                pendingReturns.put(placement.ask.permit(), PlaceEnd.UNUSED);
                 request(placement);
             } else if (result.get().getKind() == PermitAnswer.Kind.RESYNC) {
                 send(dispatcher, placement, true);
@@ -401,10 +413,10 @@
             PermitCall.Builder call,
             boolean resync,
             Consumer<Either<Failure, PermitAnswer>> consumer) {
-        Map<Long, PlaceOutcome> sent = new HashMap<>(pendingReturns);
+        long sentAt = time.nanos();
+        Map<Long, PlaceEnd> sent = new HashMap<>(pendingReturns);
         pendingReturns.clear();
-        sent.forEach((permit, outcome) -> call.addReturns(
-                PermitReturn.newBuilder().setPermit(permit).setOutcome(DispatchCodec.toMessage(outcome))));
+        sent.forEach((permit, end) -> call.addReturns(DispatchCodec.toMessage(permit, end, sentAt)));
         if (resync) {
             call.setResync(true);
             occupiedPlaces().forEach(place -> call.addHeld(DispatchCodec.toMessage(place)));
@@ -418,7 +430,6 @@
                 .get()
                 .forEach(target -> call.addLeaving(
                         LeavingTarget.newBuilder().setId(target.id()).setStartedMillis(target.startedAtMillis())));
-        long sentAt = time.nanos();
         calledAt = sentAt;
         Loan loan = allocation.lend(dispatcher.id(), call, sentAt);
         link.call(
@@ -569,7 +580,8 @@
                             ask.batch(),
                             ask.onTimeNanos() - (grantedAt - askedAt),
                             ask.work().after(now - grantedAt))
-                    .withRun(ask.prompt(), now - grantedAt);
+                    .withRun(ask.prompt(), now - grantedAt)
+                    .withRoute(ask.traits().route());
         }
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchCodec.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchCodec.java
@@ -1,6 +1,8 @@
 package org.tanagermoor.gateway.dispatch;
 
+import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.tanagermoor.gateway.prompt.PromptCodec;
@@ -11,6 +13,7 @@
 import org.tanagermoor.gateway.proto.PermitReturn;
 import org.tanagermoor.gateway.proto.PermitWork;
 import org.tanagermoor.gateway.proto.ShareLoan;
+import org.tanagermoor.gateway.proto.TargetLoad;
 import org.tanagermoor.policy.quarantine.Crash;
 import org.tanagermoor.policy.share.Loan;
 
@@ -63,6 +66,9 @@
                 .setReturning(ask.returning())
                 .addAllExcluded(ask.excluded())
                 .setPrompt(PromptCodec.toMessage(ask.prompt()))
+                .setRoute(ask.traits().route())
+                .setTokens(ask.traits().tokens())
+                .setPriority(rankPlusOne(ask.traits().priority()))
                 .build();
     }
 
@@ -81,7 +87,11 @@
                 message.getBatch(),
                 message.getReturning(),
                 Set.copyOf(message.getExcludedList()));
-        return ask.withPrompt(PromptCodec.fromMessage(message.getPrompt()));
+        RequestTraits traits = new RequestTraits(
+                message.getRoute(),
+                Math.max(0, message.getTokens()),
+                message.getPriority() > 0 ? OptionalInt.of(message.getPriority() - 1) : OptionalInt.empty());
+        return ask.withPrompt(PromptCodec.fromMessage(message.getPrompt())).withTraits(traits);
     }
 
     /** Writes a decision, and the fraction of the places of the service that online requests leave free. */
@@ -119,6 +129,55 @@
                 : OptionalDouble.of(message.getLeftPermille() / PERMILLE);
     }
 
+    /** Writes how the use of a place ended. */
+    static PermitReturn toMessage(long permit, PlaceEnd end, long now) {
+        RunAnswer answer = end.answer();
+        PermitReturn.Builder message = PermitReturn.newBuilder()
+                .setPermit(permit)
+                .setOutcome(toMessage(end.outcome()))
+                .setFailedAnswer(answer.failedAnswer())
+                .setFirstEventMillis(millisAtLeastOne(answer.firstEventNanos()))
+                .setEvents((int) Math.min(Integer.MAX_VALUE, answer.events()))
+                .setRunMillis(millisAtLeastOne(answer.runNanos()));
+        answer.load()
+                .ifPresent(report -> message.setLoad(TargetLoad.newBuilder()
+                        .setRunning(report.load().running())
+                        .setWaiting(report.load().waiting())
+                        .setSlots(report.load().slots())
+                        .setWorkPercent(report.load().workPercent())
+                        .setAgeMillis((int) TimeUnit.NANOSECONDS.toMillis(Math.max(0, now - report.receivedAt())))));
+        return message.build();
+    }
+
+    /** Reads how the use of a place ended. Fields that an earlier version does not write are unknown. */
+    static PlaceEnd fromMessage(PermitReturn message, long now) {
+        Optional<LoadReport> load = Optional.empty();
+        if (message.hasLoad()) {
+            TargetLoad stated = message.getLoad();
+            load = Optional.of(new LoadReport(
+                    new org.tanagermoor.gateway.forward.TargetLoad(
+                            stated.getRunning(), stated.getWaiting(), stated.getSlots(), stated.getWorkPercent()),
+                    now - TimeUnit.MILLISECONDS.toNanos(stated.getAgeMillis())));
+        }
+        return new PlaceEnd(
+                fromMessage(message.getOutcome()),
+                new RunAnswer(
+                        message.getFailedAnswer(),
+                        TimeUnit.MILLISECONDS.toNanos(message.getFirstEventMillis()),
+                        Integer.toUnsignedLong(message.getEvents()),
+                        TimeUnit.MILLISECONDS.toNanos(message.getRunMillis()),
+                        load));
+    }
+
+    /** Converts a time so that a known one does not become 0, which stands for an unknown time. */
+    private static int millisAtLeastOne(long nanos) {
+        return nanos <= 0 ? 0 : (int) Math.max(1, Math.min(Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(nanos)));
+    }
+
+    private static int rankPlusOne(OptionalInt priority) {
+        return priority.isEmpty() ? 0 : (int) Math.min(Integer.MAX_VALUE, priority.getAsInt() + 1L);
+    }
+
     static PermitReturn.Outcome toMessage(PlaceOutcome outcome) {
         return switch (outcome) {
             case UNUSED -> PermitReturn.Outcome.UNUSED;
@@ -157,6 +216,7 @@
                 .setWork(toMessage(place.work()))
                 .setPrompt(PromptCodec.toMessage(place.prompt()))
                 .setAgeMillis((int) TimeUnit.NANOSECONDS.toMillis(place.heldNanos()))
+                .setRoute(place.route())
                 .build();
     }
 
@@ -170,7 +230,9 @@
                 TimeUnit.MILLISECONDS.toNanos(message.getOnTimeMillis()),
                 fromMessage(message.getWork()));
         return place.withRun(
-                PromptCodec.fromMessage(message.getPrompt()), TimeUnit.MILLISECONDS.toNanos(message.getAgeMillis()));
+                        PromptCodec.fromMessage(message.getPrompt()),
+                        TimeUnit.MILLISECONDS.toNanos(message.getAgeMillis()))
+                .withRoute(message.getRoute());
     }
 
     /** Writes a run that broke off; its holder is the sender of the message. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
@@ -271,9 +271,10 @@
             answer(PermitAnswer.newBuilder().setKind(PermitAnswer.Kind.RESYNC).build(), sink);
             return;
         }
-        call.getReturnsList()
-                .forEach(entry -> dispatcher.release(
-                        holder, entry.getPermit(), DispatchCodec.fromMessage(entry.getOutcome()), now));
+        call.getReturnsList().forEach(entry -> {
+            PlaceEnd end = DispatchCodec.fromMessage(entry, now);
+            dispatcher.release(holder, entry.getPermit(), end.outcome(), end.answer(), now);
+        });
         if (call.hasAsk()) {
             ask(DispatchCodec.fromMessage(holder, call.getAsk()), answer -> answer(answer, sink));
         } else {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -175,6 +175,19 @@
      * @param now The current monotonic time in nanoseconds.
      */
     public void release(String holder, long permit, PlaceOutcome outcome, long now) {
+        release(holder, permit, outcome, RunAnswer.NONE, now);
+    }
+
+    /**
+     * Returns a permit and frees its place, or removes an ask from the queue.
+     *
+     * @param holder The instance that held the permit.
+     * @param permit The number of the permit.
+     * @param outcome How the use of the place ended.
+     * @param answer How the target answered.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    public void release(String holder, long permit, PlaceOutcome outcome, RunAnswer answer, long now) {
         Map<Long, Grant> permits = occupied.get(holder);
         Grant place = permits == null ? null : permits.remove(permit);
         if (place == null) {
@@ -465,7 +478,8 @@
         parts.granted(ask, now);
         OccupiedPlace permit = new OccupiedPlace(
                         ask.permit(), ask.service(), place.entry().id(), ask.batch(), slack, ask.work())
-                .withRun(ask.prompt(), 0);
+                .withRun(ask.prompt(), 0)
+                .withRoute(ask.traits().route());
         occupied.computeIfAbsent(ask.holder(), holder -> new HashMap<>())
                 .put(ask.permit(), new Grant(ask.holder(), permit, ask.domain(), now));
         return new PlacementDecision.Granted(place.entry().id());
@@ -522,6 +536,7 @@
      * @param work The remaining work of an item of a job.
      * @param prompt The parts of the prompt; {@link Prompt#NONE} if they are unknown.
      * @param heldNanos The time since the place was granted, in nanoseconds.
+     * @param route The name of the route; empty if it is unknown.
      */
     public record OccupiedPlace(
             long permit,
@@ -531,16 +546,22 @@
             long slackNanos,
             Work work,
             Prompt prompt,
-            long heldNanos) {
+            long heldNanos,
+            String route) {
 
         /** Creates a place that has just been granted to a request whose prompt is unknown. */
         public OccupiedPlace(long permit, String service, String target, boolean batch, long slackNanos, Work work) {
-            this(permit, service, target, batch, slackNanos, work, Prompt.NONE, 0);
+            this(permit, service, target, batch, slackNanos, work, Prompt.NONE, 0, "");
         }
 
         /** Returns this place with the prompt of the request, and the nanoseconds since it was granted. */
         public OccupiedPlace withRun(Prompt value, long nanos) {
-            return new OccupiedPlace(permit, service, target, batch, slackNanos, work, value, nanos);
+            return new OccupiedPlace(permit, service, target, batch, slackNanos, work, value, nanos, route);
+        }
+
+        /** Returns this place with the name of the route of the request. */
+        public OccupiedPlace withRoute(String value) {
+            return new OccupiedPlace(permit, service, target, batch, slackNanos, work, prompt, heldNanos, value);
         }
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -13,6 +13,8 @@
 import org.tanagermoor.gateway.dispatch.Ask;
 import org.tanagermoor.gateway.dispatch.PlaceOutcome;
 import org.tanagermoor.gateway.dispatch.PlacementDecision;
+import org.tanagermoor.gateway.dispatch.RequestTraits;
+import org.tanagermoor.gateway.dispatch.RunMeter;
 import org.tanagermoor.gateway.dispatch.Work;
 import org.tanagermoor.gateway.fleet.Route;
 import org.tanagermoor.gateway.fleet.RouteKind;
@@ -84,6 +86,9 @@
     @Nullable
     private OnlineRun run;
 
+    /** Measures the current run at a target. */
+    private RunMeter meter = RunMeter.idle();
+
     /** The number of the current permit; 0 if there is none. */
     private long permit;
 
@@ -167,7 +172,9 @@
                                         false,
                                         retrying,
                                         context.fleet().withLeaving(excluded))
-                                .withPrompt(head.prompt()),
+                                .withPrompt(head.prompt())
+                                .withTraits(RequestTraits.of(
+                                        route, team, 0, context.fleet().configuration())),
                         this::decided);
     }
 
@@ -237,6 +244,7 @@
         attempts++;
         log.placed(id, left, now);
         run = new OnlineRun(context, this, entry, lastEvent);
+        meter = RunMeter.of(now);
         // A run that may not be repeated is worth waiting for.
         run.start(
                 new TargetRequest(
@@ -247,6 +255,7 @@
     /** Handles the head of the answer in a run. */
     void headReceived(OnlineRun from, TargetHead answer, HttpResponse response) {
         log.headReceived(answer);
+        meter.head(answer, context.time().nanos());
         switch (Verdict.of(answer)) {
             case Verdict.NotRun notRun -> retryNotRun("the target did not run the request", PlaceOutcome.FULL);
             case Verdict.Unproven unproven -> retryOrFail("the target did not sign its answer: " + unproven.status());
@@ -305,6 +314,9 @@
             retryOrFail("the bytes are not an event");
             return;
         }
+        if (!event.comment()) {
+            meter.event(context.time().nanos());
+        }
         responder.body(Unpooled.wrappedBuffer(event.bytes()));
     }
 
@@ -470,8 +482,9 @@
     /** Releases the permit, if there is one. */
     private void returnPermit(PlaceOutcome outcome) {
         if (permit != 0) {
-            context.dispatch().release(permit, outcome);
+            context.dispatch().release(permit, outcome, meter.end(context.time().nanos()));
             permit = 0;
+            meter = RunMeter.idle();
         }
     }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/fleet/FleetConfiguration.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/fleet/FleetConfiguration.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /** A version of the operator's configuration: the routes, services, teams and limits. Immutable. */
 public final class FleetConfiguration {
@@ -108,6 +109,19 @@
         return Optional.ofNullable(teams.get(name));
     }
 
+    /**
+     * Returns the rank of the requests of a team on a route, where 0 is served first. The rank of the team precedes
+     * that of the route.
+     *
+     * @param route The route.
+     * @param team The name of the team; empty if there is none.
+     * @return The rank; empty if neither has one.
+     */
+    public OptionalInt priority(Route route, String team) {
+        OptionalInt own = team(team).map(FleetTeam::priority).orElse(OptionalInt.empty());
+        return own.isPresent() ? own : route.priority();
+    }
+
     /** Returns all teams, in no particular order. */
     public Collection<FleetTeam> teams() {
         return teams.values();
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/fleet/Route.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/fleet/Route.java
@@ -1,6 +1,7 @@
 package org.tanagermoor.gateway.fleet;
 
 import java.util.List;
+import java.util.OptionalInt;
 
 /**
  * The rule for the requests of one host whose path begins with a prefix.
@@ -17,6 +18,7 @@
  * @param anonymousAllowed Whether requests need no key.
  * @param resumable Whether a stream may be resumed at another target.
  * @param batch The limits of jobs; routes of other kinds do not use them.
+ * @param priority The rank of its requests, where 0 is served first; empty if it has none.
  */
 public record Route(
         String name,
@@ -29,7 +31,53 @@
         int attempts,
         boolean anonymousAllowed,
         boolean resumable,
-        BatchLimits batch) {
+        BatchLimits batch,
+        OptionalInt priority) {
+
+    /** Creates a route without a priority. */
+    public Route(
+            String name,
+            String host,
+            String prefix,
+            RouteKind kind,
+            List<Backend> backends,
+            long timeoutMillis,
+            long targetLatencyMillis,
+            int attempts,
+            boolean anonymousAllowed,
+            boolean resumable,
+            BatchLimits batch) {
+        this(
+                name,
+                host,
+                prefix,
+                kind,
+                backends,
+                timeoutMillis,
+                targetLatencyMillis,
+                attempts,
+                anonymousAllowed,
+                resumable,
+                batch,
+                OptionalInt.empty());
+    }
+
+    /** Returns this route, whose requests have the given rank. */
+    public Route withPriority(OptionalInt value) {
+        return new Route(
+                name,
+                host,
+                prefix,
+                kind,
+                backends,
+                timeoutMillis,
+                targetLatencyMillis,
+                attempts,
+                anonymousAllowed,
+                resumable,
+                batch,
+                value);
+    }
 
     /** Returns whether a request may run again at another target when it is unknown whether the first target ran it. */
     public boolean repeatable() {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetHead.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetHead.java
@@ -1,5 +1,7 @@
 package org.tanagermoor.gateway.forward;
 
+import java.util.Optional;
+
 /**
  * The head of a target's answer, independent of the protocol of the targets.
  *
@@ -11,6 +13,7 @@
  * @param events Whether the body is a stream of events.
  * @param leaving Whether the target states that it is leaving.
  * @param idleTimeoutMillis How long the target keeps an idle connection, in milliseconds; 0 if it does not say.
+ * @param load The load that the target states; empty if it states none.
  */
 public record TargetHead(
         int status,
@@ -20,4 +23,19 @@
         boolean signed,
         boolean events,
         boolean leaving,
-        long idleTimeoutMillis) {}
+        long idleTimeoutMillis,
+        Optional<TargetLoad> load) {
+
+    /** Creates the head of an answer that states no load. */
+    public TargetHead(
+            int status,
+            String id,
+            boolean notRun,
+            boolean misdirected,
+            boolean signed,
+            boolean events,
+            boolean leaving,
+            long idleTimeoutMillis) {
+        this(status, id, notRun, misdirected, signed, events, leaving, idleTimeoutMillis, Optional.empty());
+    }
+}
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -15,6 +15,8 @@
 import org.tanagermoor.gateway.dispatch.Ask;
 import org.tanagermoor.gateway.dispatch.PlaceOutcome;
 import org.tanagermoor.gateway.dispatch.PlacementDecision;
+import org.tanagermoor.gateway.dispatch.RequestTraits;
+import org.tanagermoor.gateway.dispatch.RunMeter;
 import org.tanagermoor.gateway.dispatch.Work;
 import org.tanagermoor.gateway.fleet.Route;
 import org.tanagermoor.gateway.fleet.TargetEntry;
@@ -127,6 +129,8 @@
     /** Monotonic time at which the current run started, in nanoseconds. */
     private long startedAt;
 
+    private RunMeter meter = RunMeter.idle();
+
     /** Number of the last event before the current run. */
     private long startEvent;
 
@@ -221,6 +225,8 @@
         permit = context.dispatch().nextPermit();
         long askedPermit = permit;
         Work work = context.pace().remaining(lastEvent);
+        RequestTraits traits =
+                RequestTraits.of(route, job.team(), item.getTokens(), context.fleet().configuration());
         context.runs().put(askedPermit, this);
         context.dispatch()
                 .ask(
@@ -237,7 +243,8 @@
                                         true,
                                         false,
                                         context.fleet().withLeaving(excluded))
-                                .withPrompt(prompt),
+                                .withPrompt(prompt)
+                                .withTraits(traits),
                         decision -> onDecision(askedPermit, decision));
     }
 
@@ -314,6 +321,7 @@
         heldBack = false;
         startedAt = context.time().nanos();
         startEvent = lastEvent;
+        meter = RunMeter.of(startedAt);
         lastReceivedAt = startedAt;
         target = entry;
         frames = EventFrames.of();
@@ -345,6 +353,7 @@
     public void head(TargetHead head, HttpResponse response) {
         lastReceivedAt = context.time().nanos();
         log.answerStarted(head);
+        meter.head(head, lastReceivedAt);
         switch (Verdict.of(head)) {
             case Verdict.Succeeded succeeded -> accepted = true;
             case Verdict.NotRun notRun -> {
@@ -400,6 +409,7 @@
             output.append(data);
             lastEvent = event.number();
             lastReceivedAt = context.time().nanos();
+            meter.event(lastReceivedAt);
         }
     }
 
@@ -504,8 +514,9 @@
     private void returnPermit(PlaceOutcome outcome) {
         if (permit != 0) {
             context.runs().remove(permit);
-            context.dispatch().release(permit, outcome);
+            context.dispatch().release(permit, outcome, meter.end(context.time().nanos()));
             permit = 0;
+            meter = RunMeter.idle();
         }
     }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
@@ -233,43 +233,43 @@
       "\022\026\n\016elapsed_millis\030\010 \001(\004\022\024\n\014new_requests" +
       "\030\t \001(\004\022\027\n\017new_bad_answers\030\n \001(\004\022\016\n\006write" +
       "r\030\013 \001(\t\"?\n\005Phase\022\n\n\006CANARY\020\000\022\n\n\006MOVING\020\001" +
-      "\022\r\n\tCOMPLETED\020\002\022\017\n\013ROLLED_BACK\020\003\"\331\001\n\nHel" +
+      "\022\r\n\tCOMPLETED\020\002\022\017\n\013ROLLED_BACK\020\003\"\350\001\n\nHel" +
       "dPermit\022\016\n\006permit\030\001 \001(\004\022\017\n\007service\030\002 \001(\t" +
       "\022\016\n\006target\030\003 \001(\t\022\r\n\005batch\030\004 \001(\010\022\026\n\016on_ti" +
       "me_millis\030\005 \001(\005\022-\n\004work\030\006 \001(\0132\037.tanagerm" +
       "oor.gateway.PermitWork\0220\n\006prompt\030\007 \001(\0132 " +
       ".tanagermoor.gateway.PromptParts\022\022\n\nage_" +
-      "millis\030\010 \001(\r\"\222\001\n\013CrashReport\022\016\n\006permit\030\001" +
-      " \001(\004\022\016\n\006target\030\002 \001(\t\0220\n\006prompt\030\003 \001(\0132 .t" +
-      "anagermoor.gateway.PromptParts\022\027\n\017sent_a" +
-      "ge_millis\030\004 \001(\r\022\030\n\020broke_age_millis\030\005 \001(" +
-      "\r\"\250\002\n\014PermitAnswer\0224\n\004kind\030\001 \001(\0162&.tanag" +
-      "ermoor.gateway.PermitAnswer.Kind\022\016\n\006targ" +
-      "et\030\002 \001(\t\022\032\n\022retry_after_millis\030\003 \001(\r\022\025\n\r" +
-      "left_permille\030\004 \001(\r\022\016\n\006detail\030\005 \001(\t\022\r\n\005s" +
-      "tamp\030\006 \001(\004\022\023\n\013most_shares\030\007 \001(\010\"k\n\004Kind\022" +
-      "\010\n\004NONE\020\000\022\013\n\007GRANTED\020\001\022\020\n\014RATE_LIMITED\020\002" +
-      "\022\016\n\nOVERLOADED\020\003\022\r\n\tNO_TARGET\020\004\022\n\n\006RESYN" +
-      "C\020\005\022\017\n\013QUARANTINED\020\006\"\037\n\014PermitRecall\022\017\n\007" +
-      "permits\030\001 \003(\004\")\n\nItemHeader\022\014\n\004name\030\001 \001(" +
-      "\t\022\r\n\005value\030\002 \001(\t\";\n\013PromptParts\022\016\n\006share" +
-      "d\030\001 \003(\t\022\013\n\003own\030\002 \001(\t\022\017\n\007content\030\003 \001(\t\"\245\001" +
-      "\n\007JobItem\022\n\n\002id\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\0220\n\007h" +
-      "eaders\030\003 \003(\0132\037.tanagermoor.gateway.ItemH" +
-      "eader\022\014\n\004body\030\004 \001(\014\022\016\n\006tokens\030\005 \001(\004\0220\n\006p" +
-      "rompt\030\006 \001(\0132 .tanagermoor.gateway.Prompt" +
-      "Parts\"9\n\nJobContent\022+\n\005items\030\001 \003(\0132\034.tan" +
-      "agermoor.gateway.JobItem\"\256\001\n\006JobRow\022\n\n\002i" +
-      "d\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004p" +
-      "ath\030\004 \001(\t\022\027\n\017accepted_millis\030\005 \001(\004\022\r\n\005to" +
-      "tal\030\006 \001(\r\022\020\n\010recorded\030\007 \001(\r\022\r\n\005ended\030\010 \001" +
-      "(\010\022\026\n\016tokens_waiting\030\t \001(\004\022\r\n\005owner\030\n \001(" +
-      "\t\"L\n\nResultPart\022\014\n\004item\030\001 \001(\t\022\021\n\tcomplet" +
-      "ed\030\002 \001(\010\022\016\n\006output\030\003 \001(\014\022\r\n\005parts\030\004 \001(\r\"" +
-      "R\n\014ItemProgress\022\014\n\004item\030\001 \001(\t\022\022\n\nlast_ev" +
-      "ent\030\002 \001(\004\022\016\n\006output\030\003 \001(\014\022\020\n\010failures\030\004 " +
-      "\001(\rB!\n\035org.tanagermoor.gateway.protoP\001b\006" +
-      "proto3"
+      "millis\030\010 \001(\r\022\r\n\005route\030\t \001(\t\"\222\001\n\013CrashRep" +
+      "ort\022\016\n\006permit\030\001 \001(\004\022\016\n\006target\030\002 \001(\t\0220\n\006p" +
+      "rompt\030\003 \001(\0132 .tanagermoor.gateway.Prompt" +
+      "Parts\022\027\n\017sent_age_millis\030\004 \001(\r\022\030\n\020broke_" +
+      "age_millis\030\005 \001(\r\"\250\002\n\014PermitAnswer\0224\n\004kin" +
+      "d\030\001 \001(\0162&.tanagermoor.gateway.PermitAnsw" +
+      "er.Kind\022\016\n\006target\030\002 \001(\t\022\032\n\022retry_after_m" +
+      "illis\030\003 \001(\r\022\025\n\rleft_permille\030\004 \001(\r\022\016\n\006de" +
+      "tail\030\005 \001(\t\022\r\n\005stamp\030\006 \001(\004\022\023\n\013most_shares" +
+      "\030\007 \001(\010\"k\n\004Kind\022\010\n\004NONE\020\000\022\013\n\007GRANTED\020\001\022\020\n" +
+      "\014RATE_LIMITED\020\002\022\016\n\nOVERLOADED\020\003\022\r\n\tNO_TA" +
+      "RGET\020\004\022\n\n\006RESYNC\020\005\022\017\n\013QUARANTINED\020\006\"\037\n\014P" +
+      "ermitRecall\022\017\n\007permits\030\001 \003(\004\")\n\nItemHead" +
+      "er\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\";\n\013Promp" +
+      "tParts\022\016\n\006shared\030\001 \003(\t\022\013\n\003own\030\002 \001(\t\022\017\n\007c" +
+      "ontent\030\003 \001(\t\"\245\001\n\007JobItem\022\n\n\002id\030\001 \001(\t\022\014\n\004" +
+      "path\030\002 \001(\t\0220\n\007headers\030\003 \003(\0132\037.tanagermoo" +
+      "r.gateway.ItemHeader\022\014\n\004body\030\004 \001(\014\022\016\n\006to" +
+      "kens\030\005 \001(\004\0220\n\006prompt\030\006 \001(\0132 .tanagermoor" +
+      ".gateway.PromptParts\"9\n\nJobContent\022+\n\005it" +
+      "ems\030\001 \003(\0132\034.tanagermoor.gateway.JobItem\"" +
+      "\256\001\n\006JobRow\022\n\n\002id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004" +
+      "host\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022\027\n\017accepted_mil" +
+      "lis\030\005 \001(\004\022\r\n\005total\030\006 \001(\r\022\020\n\010recorded\030\007 \001" +
+      "(\r\022\r\n\005ended\030\010 \001(\010\022\026\n\016tokens_waiting\030\t \001(" +
+      "\004\022\r\n\005owner\030\n \001(\t\"L\n\nResultPart\022\014\n\004item\030\001" +
+      " \001(\t\022\021\n\tcompleted\030\002 \001(\010\022\016\n\006output\030\003 \001(\014\022" +
+      "\r\n\005parts\030\004 \001(\r\"R\n\014ItemProgress\022\014\n\004item\030\001" +
+      " \001(\t\022\022\n\nlast_event\030\002 \001(\004\022\016\n\006output\030\003 \001(\014" +
+      "\022\020\n\010failures\030\004 \001(\rB!\n\035org.tanagermoor.ga" +
+      "teway.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -376,7 +376,7 @@
     internal_static_tanagermoor_gateway_HeldPermit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_HeldPermit_descriptor,
-        new java.lang.String[] { "Permit", "Service", "Target", "Batch", "OnTimeMillis", "Work", "Prompt", "AgeMillis", });
+        new java.lang.String[] { "Permit", "Service", "Target", "Batch", "OnTimeMillis", "Work", "Prompt", "AgeMillis", "Route", });
     internal_static_tanagermoor_gateway_CrashReport_descriptor =
       getDescriptor().getMessageType(17);
     internal_static_tanagermoor_gateway_CrashReport_fieldAccessorTable = new
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/HeldPermit.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/HeldPermit.java
@@ -30,6 +30,7 @@
   private HeldPermit() {
     service_ = "";
     target_ = "";
+    route_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -233,6 +234,53 @@
     return ageMillis_;
   }
 
+  public static final int ROUTE_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object route_ = "";
+  /**
+   * <pre>
+   * The name of the route; empty if it is unknown.
+   * </pre>
+   *
+   * <code>string route = 9;</code>
+   * @return The route.
+   */
+  @java.lang.Override
+  public java.lang.String getRoute() {
+    java.lang.Object ref = route_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      route_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The name of the route; empty if it is unknown.
+   * </pre>
+   *
+   * <code>string route = 9;</code>
+   * @return The bytes for route.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getRouteBytes() {
+    java.lang.Object ref = route_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      route_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -271,6 +319,9 @@
     if (ageMillis_ != 0) {
       output.writeUInt32(8, ageMillis_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(route_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 9, route_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -305,6 +356,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(8, ageMillis_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(route_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(9, route_);
+    }
     return size;
   }
   @java.lang.Override
@@ -351,6 +405,8 @@
     }
     if (getAgeMillis()
         != other.getAgeMillis()) return false;
+    if (!getRoute()
+        .equals(other.getRoute())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -384,6 +440,8 @@
     }
     hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getAgeMillis();
+    hash = (37 * hash) + ROUTE_FIELD_NUMBER;
+    hash = (53 * hash) + getRoute().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -538,6 +596,7 @@
         promptBuilder_ = null;
       }
       ageMillis_ = 0;
+      route_ = "";
       return this;
     }
 
@@ -602,6 +661,9 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.ageMillis_ = ageMillis_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.route_ = route_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -645,6 +707,11 @@
       if (other.getAgeMillis() != 0) {
         setAgeMillis(other.getAgeMillis());
       }
+      if (!other.getRoute().isEmpty()) {
+        route_ = other.route_;
+        bitField0_ |= 0x00000100;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -713,6 +780,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 74: {
+              route_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1264,6 +1336,98 @@
       return this;
     }
 
+    private java.lang.Object route_ = "";
+    /**
+     * <pre>
+     * The name of the route; empty if it is unknown.
+     * </pre>
+     *
+     * <code>string route = 9;</code>
+     * @return The route.
+     */
+    public java.lang.String getRoute() {
+      java.lang.Object ref = route_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        route_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The name of the route; empty if it is unknown.
+     * </pre>
+     *
+     * <code>string route = 9;</code>
+     * @return The bytes for route.
+     */
+    public com.google.protobuf.ByteString
+        getRouteBytes() {
+      java.lang.Object ref = route_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        route_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The name of the route; empty if it is unknown.
+     * </pre>
+     *
+     * <code>string route = 9;</code>
+     * @param value The route to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRoute(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      route_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The name of the route; empty if it is unknown.
+     * </pre>
+     *
+     * <code>string route = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRoute() {
+      route_ = getDefaultInstance().getRoute();
+      bitField0_ = (bitField0_ & ~0x00000100);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The name of the route; empty if it is unknown.
+     * </pre>
+     *
+     * <code>string route = 9;</code>
+     * @param value The bytes for route to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRouteBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      route_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.HeldPermit)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/HeldPermitOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/HeldPermitOrBuilder.java
@@ -95,4 +95,24 @@
    * @return The ageMillis.
    */
   int getAgeMillis();
+
+  /**
+   * <pre>
+   * The name of the route; empty if it is unknown.
+   * </pre>
+   *
+   * <code>string route = 9;</code>
+   * @return The route.
+   */
+  java.lang.String getRoute();
+  /**
+   * <pre>
+   * The name of the route; empty if it is unknown.
+   * </pre>
+   *
+   * <code>string route = 9;</code>
+   * @return The bytes for route.
+   */
+  com.google.protobuf.ByteString
+      getRouteBytes();
 }
