Place requests by the phase of a roll-out, and report to it what was placed

The dispatcher chose among all targets of a service, so that the traffic could not move from one version to another.

- RolloutPlacement restricts the targets of a service by the phase: old ones and the offered share of new ones, new ones only, or never an excluded version.
Without a roll-out it permits every target.
- Each place is counted by the dispatcher that granted it.
A place that is given back unused or whose target did not run the request is taken back; a lost one at the new version stays counted.
- Items at targets that get no more requests are recalled, and again after a second, since a recall may be lost.
- DispatchServer.rolloutView states the places of both sides and whether every running instance has reported.
During a roll-out instances without places report too.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
@@ -339,7 +339,9 @@
         boolean dispatching = dispatcher.id().equals(liveness.self().id());
         if (dispatching) {
             localServer.dispatcher().resync(self, occupiedPlaces(), now);
-        } else if (!placements.isEmpty() || placesReported) {
+        } else if (!placements.isEmpty()
+                || placesReported
+                || localServer.dispatcher().hasRollouts()) {
             placesReported = !placements.isEmpty();
             call(dispatcher, PermitCall.newBuilder(), true, result -> {
                 if (result.isLeft()) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
@@ -19,6 +19,7 @@
 import org.tanagermoor.policy.fleet.InstanceId;
 import org.tanagermoor.policy.quarantine.Quarantine;
 import org.tanagermoor.policy.quarantine.QuarantineEntry;
+import org.tanagermoor.policy.rollout.RolloutView;
 import org.tanagermoor.wire.link.Channel;
 import org.tanagermoor.wire.link.PeerLink;
 import reactor.core.publisher.Mono;
@@ -45,6 +46,21 @@
     /** The timeout of a recall sent to the holder of a permit. */
     private static final java.time.Duration RECALL_TIMEOUT = java.time.Duration.ofMillis(500);
 
+    /**
+     * The time without a call after which an instance may use another dispatcher, in nanoseconds: above the interval at
+     * which each instance reports its places during a roll-out.
+     */
+    private static final long CONTACT_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+    /**
+     * The silence after which an instance that did not report counts as ended, in nanoseconds: the bound within which
+     * the directory drops a lost instance.
+     */
+    private static final long LOST_NANOS = TimeUnit.SECONDS.toNanos(6);
+
+    /** The age of a report that was never made, in nanoseconds. */
+    private static final long NEVER_NANOS = TimeUnit.DAYS.toNanos(1_000);
+
     private final EventLoop loop;
 
     private final PeerLink link;
@@ -62,6 +78,9 @@
     /** The receivers of answers to queued asks, by the identity of the run. */
     private final Map<String, Consumer<PermitAnswer>> waiting = new HashMap<>();
 
+    /** When each instance called this one, by its identity. */
+    private final Map<String, Contact> contacts = new HashMap<>();
+
     /**
      * The monotonic time in nanoseconds at which this instance became the dispatcher; empty if it is not the
      * dispatcher.
@@ -151,6 +170,34 @@
                                         dispatcher.hasReported(instance.id().toString())));
     }
 
+    /**
+     * Returns what this instance sees of a service in a roll-out.
+     *
+     * @param service The name of the service.
+     * @param stateFresh Whether the row of the state was read or written recently.
+     * @param now The current monotonic time in nanoseconds.
+     * @return The view.
+     */
+    public RolloutView rolloutView(String service, boolean stateFresh, long now) {
+        RolloutPlaces places = dispatcher.rolloutPlaces(service, now);
+        return new RolloutView(
+                places.newPlaces(), places.placesInUse(), places.oldPlacesInUse(), allReported(now), stateFresh);
+    }
+
+    /**
+     * Returns whether no place in use can be unknown here: this instance is the dispatcher, every running instance has
+     * reported its places since then and calls no other dispatcher, and no other instance may still run.
+     */
+    private boolean allReported(long now) {
+        return tookOverAt.isPresent()
+                && liveness.running(now).stream()
+                        .map(instance -> contacts.get(instance.id().toString()))
+                        .allMatch(contact -> contact != null
+                                && contact.reportedAt - tookOverAt.getAsLong() >= 0
+                                && now - contact.calledAt <= CONTACT_NANOS)
+                && !liveness.silentWithin(LOST_NANOS, now);
+    }
+
     /**
      * Answers an ask with the decision, or with an answer without one after {@link #ANSWER_MILLIS}, for an item of a
      * job after {@link #BATCH_ANSWER_MILLIS}.
@@ -187,6 +234,7 @@
                 dispatcher.forget(holder, now);
             }
         }
+        contacts.keySet().removeIf(holder -> !liveness.runs(holder, now));
         dispatcher.tick(now);
         scheduleCheck();
     }
@@ -260,7 +308,10 @@
         String holder = from.toString();
         allocation.borrow(from, call, now);
         call.getLeavingList().forEach(leavingHandler);
+        Contact contact = contacts.computeIfAbsent(holder, name -> new Contact(now));
+        contact.calledAt = now;
         if (call.getResync()) {
+            contact.reportedAt = now;
             dispatcher.resync(
                     holder,
                     call.getHeldList().stream().map(DispatchCodec::fromMessage).toList(),
@@ -293,4 +344,20 @@
     private PermitAnswer toMessage(Ask ask, PlacementDecision decision) {
         return DispatchCodec.toMessage(decision, dispatcher.headroom(ask.service()));
     }
+
+    /** The times at which an instance called this one. */
+    private static final class Contact {
+
+        /** The monotonic time in nanoseconds of its last report of all places in use. */
+        private long reportedAt;
+
+        /** The monotonic time in nanoseconds of its last message. */
+        private long calledAt;
+
+        /** Creates the contact of an instance that has never reported. */
+        Contact(long now) {
+            reportedAt = now - NEVER_NANOS;
+            calledAt = now;
+        }
+    }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -16,6 +16,7 @@
 import org.tanagermoor.policy.quarantine.Crash;
 import org.tanagermoor.policy.quarantine.Quarantine;
 import org.tanagermoor.policy.quarantine.QuarantineEntry;
+import org.tanagermoor.policy.rollout.Rollout;
 
 /**
  * Decides which ask gets a place at which target. Engines admit requests in the order of arrival and without
@@ -112,7 +113,47 @@
         services.forEach((name, queue) -> queue.places()
                 .keySet()
                 .removeIf(id -> !current.getOrDefault(name, Set.of()).contains(id)));
-        services.values().forEach(queue -> drain(queue, now));
+        services.values().forEach(queue -> {
+            queue.rollout().targetsChanged();
+            drain(queue, now);
+        });
+    }
+
+    /**
+     * Replaces the roll-outs. The rules of an ended one hold until it is replaced, and afterwards while there are
+     * targets of the versions that it excludes.
+     *
+     * @param rollouts The roll-outs by the name of the service, including ended ones whose order is not removed.
+     */
+    public void rollouts(Map<String, Rollout> rollouts) {
+        rollouts.keySet().forEach(this::queue);
+        services.forEach((name, queue) -> queue.rollout().update(rollouts.get(name)));
+    }
+
+    /**
+     * Sets the versions that completed roll-outs have replaced. For a service without any, they are those of the
+     * targets that are known when the completion is first seen.
+     *
+     * @param versions The versions by the name of the service.
+     */
+    public void replacedVersions(Map<String, Set<String>> versions) {
+        services.forEach((name, queue) -> queue.rollout().recorded(versions.getOrDefault(name, Set.of())));
+    }
+
+    /** Returns whether the traffic of any service is moving to another version. */
+    public boolean hasRollouts() {
+        return services.values().stream().anyMatch(queue -> queue.rollout().running());
+    }
+
+    /**
+     * Returns the numbers of places on which the next phase of a roll-out depends.
+     *
+     * @param service The name of the service.
+     * @param now The current monotonic time in nanoseconds.
+     * @return The numbers.
+     */
+    public RolloutPlaces rolloutPlaces(String service, long now) {
+        return queue(service).rollout().count(grants(service), now);
     }
 
     /**
@@ -148,7 +189,7 @@
             return Optional.of(new PlacementDecision.Granted(current.target));
         }
         ServiceQueue queue = queue(ask.service());
-        Optional<ServiceQueue.Waiting> waiting = find(queue, ask);
+        Optional<ServiceQueue.Waiting> waiting = queue.find(ask);
         if (waiting.isPresent()) {
             waiting.get().refresh(now);
             return Optional.empty();
@@ -166,14 +207,7 @@
         return place(queue, ask, now);
     }
 
-    /**
-     * Returns a permit and frees its place, or removes an ask from the queue.
-     *
-     * @param holder The instance that held the permit.
-     * @param permit The number of the permit.
-     * @param outcome How the use of the place ended.
-     * @param now The current monotonic time in nanoseconds.
-     */
+    /** Returns a permit, or removes an ask from the queue, when it is unknown how the target answered. */
     public void release(String holder, long permit, PlaceOutcome outcome, long now) {
         release(holder, permit, outcome, RunAnswer.NONE, now);
     }
@@ -191,14 +225,12 @@
         Map<Long, Grant> permits = occupied.get(holder);
         Grant place = permits == null ? null : permits.remove(permit);
         if (place == null) {
-            services.values().forEach(queue -> {
-                queue.online().removeIf(waiting -> matches(waiting.ask(), holder, permit));
-                queue.batch().removeIf(waiting -> matches(waiting.ask(), holder, permit));
-            });
+            services.values().forEach(queue -> queue.remove(holder, permit));
             return;
         }
         recalled.remove(place);
         ServiceQueue queue = queue(place.service);
+        queue.rollout().ended(place, outcome, answer, now);
         TargetPlaces target = queue.places().get(place.target);
         if (target != null) {
             target.release(place.batch, outcome, now);
@@ -237,14 +269,17 @@
         permits.forEach(permit -> reported.add(permit.permit()));
         for (Grant place : List.copyOf(known.values())) {
             if (!reported.contains(place.permit) && now - place.grantedAt > RESYNC_NANOS) {
+                queue(place.service).rollout().lost(place);
                 release(holder, place.permit, PlaceOutcome.UNUSED, now);
             }
         }
         for (OccupiedPlace permit : permits) {
             if (!known.containsKey(permit.permit())) {
-                known.put(permit.permit(), new Grant(holder, permit, "", now));
+                Grant grant = new Grant(holder, permit, "", now);
+                known.put(permit.permit(), grant);
                 TargetPlaces place = queue(permit.service()).places().get(permit.target());
                 if (place != null) {
+                    grant.version = place.entry().version();
                     place.count(permit.batch(), 1);
                 }
             }
@@ -274,6 +309,7 @@
         }
         permits.values().forEach(place -> {
             recalled.remove(place);
+            queue(place.service).rollout().lost(place);
             TargetPlaces target = queue(place.service).places().get(place.target);
             if (target != null) {
                 target.release(place.batch, PlaceOutcome.UNUSED, now);
@@ -292,14 +328,15 @@
      * @param now The current monotonic time in nanoseconds.
      */
     public void tick(long now) {
-        for (ServiceQueue queue : services.values()) {
+        services.forEach((name, queue) -> {
             queue.observe(now);
+            recallExcluded(name, queue, now);
             refuseHeldBack(queue.online(), now);
             refuseHeldBack(queue.batch(), now);
             expire(queue, queue.online(), now);
             expire(queue, queue.batch(), now);
             drain(queue, now);
-        }
+        });
     }
 
     /**
@@ -336,13 +373,13 @@
         }
         boolean noneAhead = ask.batch()
                 ? !batchPaused && queue.batch().isEmpty() && queue.online().isEmpty()
-                : !contended(queue, now);
+                : !queue.contended(now);
         Optional<TargetPlaces> place = noneAhead ? queue.choose(ask, now) : Optional.empty();
         if (place.isPresent()) {
             return Optional.of(grant(queue, ask, place.get(), ask.onTimeNanos(), now));
         }
         if (!ask.batch()) {
-            double wait = expectedWait(queue, now);
+            double wait = queue.expectedWait(now);
             if (wait > ServiceQueue.maxWait(ask)) {
                 return refused(PlacementDecision.Reason.OVERLOADED, millis(wait));
             }
@@ -354,25 +391,6 @@
         return Optional.empty();
     }
 
-    /** Returns whether an online request that can still be on time is already queued. */
-    private static boolean contended(ServiceQueue queue, long now) {
-        return queue.online().stream().anyMatch(waiting -> waiting.onTime(now));
-    }
-
-    /**
-     * Returns the time that a new online request is expected to wait, in nanoseconds: behind those that can be on time,
-     * while places are returned one after the other. Items of jobs return their places within {@link
-     * ServiceQueue#RECALL_NANOS}.
-     */
-    private double expectedWait(ServiceQueue queue, long now) {
-        long before =
-                queue.online().stream().filter(waiting -> waiting.onTime(now)).count();
-        long position = before + 1 - queue.batchPlaces();
-        return position <= 0
-                ? ServiceQueue.RECALL_NANOS
-                : position * queue.occupancyNanos() / (queue.usablePlaces(now) + 1);
-    }
-
     /**
      * Grants free places. A place that is returned in the course of it does not call this again, but lets it run once
      * more: the depth of the calls must not grow with the number of asks.
@@ -448,7 +466,7 @@
                 expired.add(next);
             }
         }
-        long retry = millis(expectedWait(queue, now));
+        long retry = millis(queue.expectedWait(now));
         expired.forEach(next ->
                 sink.decided(next.ask(), new PlacementDecision.Refused(PlacementDecision.Reason.OVERLOADED, retry)));
     }
@@ -460,6 +478,7 @@
             for (Grant place : permits.values()) {
                 if (place.batch
                         && queue.places().containsKey(place.target)
+                        && !queue.rollout().excludes(place)
                         && !recalled.contains(place)
                         && (best == null || place.cheaperToRecall(best, queue.headroom(), now))) {
                     best = place;
@@ -472,6 +491,26 @@
         }
     }
 
+    /** Recalls the items of jobs at targets that get no requests any more because of a roll-out. */
+    private void recallExcluded(String service, ServiceQueue queue, long now) {
+        if (queue.rollout().recallDue(now)) {
+            for (Grant place : grants(service)) {
+                if (place.batch && queue.rollout().excludes(place)) {
+                    recalled.add(place);
+                    sink.recall(place.holder, place.permit);
+                }
+            }
+        }
+    }
+
+    /** Returns the granted places of a service. */
+    private List<Grant> grants(String service) {
+        return occupied.values().stream()
+                .flatMap(permits -> permits.values().stream())
+                .filter(place -> place.service.equals(service))
+                .toList();
+    }
+
     private PlacementDecision grant(ServiceQueue queue, Ask ask, TargetPlaces place, long slack, long now) {
         place.take(ask.batch(), now);
         queue.remember(ask, place);
@@ -480,23 +519,13 @@
                         ask.permit(), ask.service(), place.entry().id(), ask.batch(), slack, ask.work())
                 .withRun(ask.prompt(), 0)
                 .withRoute(ask.traits().route());
-        occupied.computeIfAbsent(ask.holder(), holder -> new HashMap<>())
-                .put(ask.permit(), new Grant(ask.holder(), permit, ask.domain(), now));
+        Grant grant = new Grant(ask.holder(), permit, ask.domain(), now);
+        grant.version = place.entry().version();
+        occupied.computeIfAbsent(ask.holder(), holder -> new HashMap<>()).put(ask.permit(), grant);
+        queue.rollout().placed(grant, now);
         return new PlacementDecision.Granted(place.entry().id());
     }
 
-    /** Finds a repeated ask in the queue. */
-    private static Optional<ServiceQueue.Waiting> find(ServiceQueue queue, Ask ask) {
-        return (ask.batch() ? queue.batch() : queue.online())
-                .stream()
-                        .filter(waiting -> matches(waiting.ask(), ask.holder(), ask.permit()))
-                        .findFirst();
-    }
-
-    private static boolean matches(Ask ask, String holder, long permit) {
-        return ask.permit() == permit && ask.holder().equals(holder);
-    }
-
     /** Returns the queue of a service, created when it is first needed. */
     private ServiceQueue queue(String service) {
         return services.computeIfAbsent(service, name -> new ServiceQueue());
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Grant.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Grant.java
@@ -2,6 +2,7 @@
 
 import org.jspecify.annotations.Nullable;
 import org.tanagermoor.policy.prompt.Prompt;
+import org.tanagermoor.policy.rollout.Rollout;
 
 /** A granted place that is in use. */
 final class Grant {
@@ -18,6 +19,17 @@
     /** Whether an item of a job uses the place. */
     final boolean batch;
 
+    /** The name of the route of the request; empty if it is unknown. */
+    final String route;
+
+    /** The version of the target; {@code null} if the target is not known. */
+    @Nullable
+    String version;
+
+    /** The roll-out that has counted the place as placed; {@code null} if none has. */
+    @Nullable
+    Rollout countedBy;
+
     /** The failure domain of the holder; empty if it is unknown. */
     final String domain;
 
@@ -47,6 +59,7 @@
         target = place.target();
         batch = place.batch();
         prompt = place.prompt();
+        route = place.route();
         this.grantedAt = grantedAt;
         sentAt = grantedAt - place.heldNanos();
     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -1,13 +1,14 @@
 package org.tanagermoor.gateway.dispatch;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /** The targets of a service and the asks that wait for their places. Not thread-safe. */
 final class ServiceQueue {
@@ -42,6 +43,9 @@
     /** The targets by identity, with their places. */
     private final Map<String, TargetPlaces> places = new LinkedHashMap<>();
 
+    /** Restricts the targets while the traffic moves to another version. */
+    private final RolloutPlacement rollout = new RolloutPlacement(places);
+
     /** The queued online requests in the order of their arrival. */
     private final List<Waiting> online = new ArrayList<>();
 
@@ -70,6 +74,11 @@
         return places;
     }
 
+    /** Returns the restriction of the targets while the traffic moves to another version. */
+    RolloutPlacement rollout() {
+        return rollout;
+    }
+
     /** Returns the queued online requests; changes take effect. */
     List<Waiting> online() {
         return online;
@@ -80,44 +89,88 @@
         return batch;
     }
 
-    /** Returns the total number of places of usable targets, free or in use. */
+    /** Finds a repeated ask in the queue. */
+    Optional<Waiting> find(Ask ask) {
+        return (ask.batch() ? batch : online)
+                .stream()
+                        .filter(waiting -> waiting.matches(ask.holder(), ask.permit()))
+                        .findFirst();
+    }
+
+    /** Removes the ask with a permit of a holder, if it is queued. */
+    void remove(String holder, long permit) {
+        online.removeIf(waiting -> waiting.matches(holder, permit));
+        batch.removeIf(waiting -> waiting.matches(holder, permit));
+    }
+
+    /** Returns whether an online request that can still be on time is already queued. */
+    boolean contended(long now) {
+        return online.stream().anyMatch(waiting -> waiting.onTime(now));
+    }
+
+    /**
+     * Returns the time that a new online request is expected to wait, in nanoseconds: behind those that can be on time,
+     * while places are returned one after the other. Items of jobs return their places within {@link #RECALL_NANOS}.
+     */
+    double expectedWait(long now) {
+        long before = online.stream().filter(waiting -> waiting.onTime(now)).count();
+        long position = before + 1 - batchPlaces();
+        return position <= 0 ? RECALL_NANOS : position * occupancyNanos / (usablePlaces(now) + 1);
+    }
+
+    /** Returns the total number of places of usable targets for any request, free or in use. */
     int usablePlaces(long now) {
         return places.values().stream()
+                .filter(rollout::permits)
                 .filter(place -> place.usable(now))
                 .mapToInt(place -> place.entry().capacity())
                 .sum();
     }
 
-    /** Returns the number of places in use by items of jobs. */
+    /** Returns the number of places in use by items of jobs at targets for any request. */
     int batchPlaces() {
-        return places.values().stream().mapToInt(TargetPlaces::batch).sum();
+        return places.values().stream()
+                .filter(rollout::permits)
+                .mapToInt(TargetPlaces::batch)
+                .sum();
     }
 
-    /** Returns whether any target of the service is not draining. */
+    /** Returns whether any target of the service may get requests and is not draining. */
     boolean hasTargets() {
-        return places.values().stream().anyMatch(place -> !place.entry().draining());
+        return places.values().stream().anyMatch(place -> !place.entry().draining() && rollout.mayServe(place));
     }
 
     /**
      * Chooses a target with a free place: unsuspected targets first, then the one with the lowest load, then one in the
      * failure domain of the holder. The target that served the prompt last is preferred if its load is hardly higher.
+     * In a roll-out, an ask that is offered to the new version gets a place there if one is free.
      *
      * @param ask The ask.
      * @param now The current monotonic time in nanoseconds.
      * @return The target; empty if no place is free for this ask.
      */
     Optional<TargetPlaces> choose(Ask ask, long now) {
-        if (ask.batch() && free(places.values(), now) <= reserve(now)) {
+        if (ask.batch() && free(now) <= reserve(now)) {
             return Optional.empty();
         }
+        Set<String> offered = rollout.offered(ask, now);
+        return offered.isEmpty()
+                ? choose(ask, rollout::permits, now)
+                : choose(ask, place -> offered.contains(place.entry().id()), now)
+                        .or(() -> choose(ask, rollout::permits, now));
+    }
+
+    /** Chooses among the targets that a condition permits. */
+    private Optional<TargetPlaces> choose(Ask ask, Predicate<TargetPlaces> permitted, long now) {
         Optional<TargetPlaces> best = places.values().stream()
-                .filter(place -> available(place, ask, now))
+                .filter(place -> available(place, ask, now) && permitted.test(place))
                 .min(Comparator.<TargetPlaces, Boolean>comparing(place -> place.suspected(ask.domain(), now))
                         .thenComparingDouble(place -> place.load(occupancyNanos))
                         .thenComparing(place -> !place.entry().domain().equals(ask.domain())));
         double maxLoad =
                 best.map(place -> place.load(occupancyNanos) + PROMPT_LOAD).orElse(0.0);
         return remembered(ask)
+                .filter(permitted)
                 .filter(last -> available(last, ask, now) && !last.suspected(ask.domain(), now))
                 .filter(last -> last.load(occupancyNanos) <= maxLoad)
                 .or(() -> best);
@@ -153,11 +206,12 @@
         estimator = value;
     }
 
-    /** Records the fraction of the places that online requests currently leave free. */
+    /** Records the places in use, and the fraction of the places that online requests currently leave free. */
     void observe(long now) {
+        rollout.observe(now);
         int usablePlaces = usablePlaces(now) - reserve(now);
         int online = places.values().stream()
-                .filter(place -> place.usable(now))
+                .filter(place -> place.usable(now) && rollout.permits(place))
                 .mapToInt(TargetPlaces::online)
                 .sum();
         estimator.observe(usablePlaces <= 0 ? 0 : Math.max(0, usablePlaces - online) / (double) usablePlaces, now);
@@ -227,10 +281,10 @@
                 .map(places::get);
     }
 
-    /** Returns the total number of free places of usable targets. */
-    private static int free(Collection<TargetPlaces> places, long now) {
-        return places.stream()
-                .filter(place -> place.usable(now))
+    /** Returns the total number of free places of usable targets for any request. */
+    private int free(long now) {
+        return places.values().stream()
+                .filter(place -> place.usable(now) && rollout.permits(place))
                 .mapToInt(place -> Math.max(0, place.free()))
                 .sum();
     }
@@ -257,6 +311,11 @@
             return ask;
         }
 
+        /** Returns whether this is the ask with a permit of a holder. */
+        boolean matches(String holder, long permit) {
+            return ask.permit() == permit && ask.holder().equals(holder);
+        }
+
         /** Returns how much longer it can wait and still be on time, in nanoseconds; below 0 if it is late. */
         long slack(long now) {
             return arrivedAt + ask.onTimeNanos() - now;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
@@ -55,6 +55,9 @@
     /** Limits the rate of requests while the target is cold. */
     private final TokenBucket cold;
 
+    /** Whether the target accepts requests at any rate while it is cold. */
+    private final boolean unlimited;
+
     /** The outcomes of the requests of all instances. */
     private final TargetRecord record;
 
@@ -73,6 +76,7 @@
         avoidUntil = now;
         record = new TargetRecord(now);
         coldUntil = now + TimeUnit.MILLISECONDS.toNanos(entry.warmupLeftMillis());
+        unlimited = coldPerSecond <= 0;
         double rate = coldPerSecond > 0 ? coldPerSecond * COLD_FRACTION : Double.MAX_VALUE / 2;
         cold = TokenBucket.empty(RateLimit.of(rate, Math.max(1, rate / 4)), now);
     }
@@ -117,6 +121,11 @@
                 && (now - coldUntil >= 0 || cold.refill(cold.limit().burst(), now) >= 1);
     }
 
+    /** Returns whether the target accepts requests at any rate, because it is warm or its service has no cold rate. */
+    boolean atFullRate(long now) {
+        return now - coldUntil >= 0 || unlimited;
+    }
+
     /** Occupies a place, and charges the cold rate if the target is cold. */
     void take(boolean forBatch, long now) {
         if (now - coldUntil < 0) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -225,8 +225,8 @@
         permit = context.dispatch().nextPermit();
         long askedPermit = permit;
         Work work = context.pace().remaining(lastEvent);
-        RequestTraits traits =
-                RequestTraits.of(route, job.team(), item.getTokens(), context.fleet().configuration());
+        RequestTraits traits = RequestTraits.of(
+                route, job.team(), item.getTokens(), context.fleet().configuration());
         context.runs().put(askedPermit, this);
         context.dispatch()
                 .ask(
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Liveness.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Liveness.java
@@ -320,6 +320,21 @@
                 .toList();
     }
 
+    /**
+     * Returns whether another known instance is silent, but not for as long as the given time.
+     *
+     * @param nanos The time in nanoseconds.
+     * @param now The current monotonic time in nanoseconds.
+     * @return Whether there is such an instance, which may still run.
+     */
+    public boolean silentWithin(long nanos, long now) {
+        Map<String, State> newest = newest();
+        return others.values().stream()
+                .anyMatch(state -> now - state.lastSeenAt > SILENCE_NANOS
+                        && now - state.lastSeenAt < nanos
+                        && !replaced(state, newest));
+    }
+
     /**
      * Returns the dispatcher. Instances with a weak processor rank last, since each request depends on the dispatcher,
      * and those that started later rank behind earlier ones: a process is slow at first, and a restart must not cause a
