Serve online requests by fair shares, and targets by the speed and the pace at which they answer

Cause: under an excess of one team the others wait in one line with it; slow targets get as many requests as fast ones; a new target is flooded, and one that failed is avoided for up to 8 s and then used in full. Change: FairOrder sorts the queue by virtual times of teams where the deployment asks for it; ServiceQueue compares targets by the speed that they report, and TargetPlaces limits new and recovered ones by TargetPace where targets report their speed. Other deployments are served as before.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -55,6 +55,9 @@
     /** The grants whose holders were asked to return the place. */
     private final Set<Grant> recalled = new HashSet<>();
 
+    /** Whether online requests are served by fair shares of their teams. */
+    private boolean fairSharing;
+
     /** Whether items of jobs are granted no places, because not all places in use are known. */
     private boolean batchPaused;
 
@@ -108,7 +111,13 @@
                     place.update(entry, now);
                 }
             } else {
-                places.put(entry.id(), new TargetPlaces(entry, coldPerSecond.applyAsDouble(entry.service()), now));
+                places.put(
+                        entry.id(),
+                        new TargetPlaces(
+                                entry,
+                                coldPerSecond.applyAsDouble(entry.service()),
+                                queue(entry.service()).startingPace(now),
+                                now));
             }
         }
         services.forEach((name, queue) -> queue.places()
@@ -157,6 +166,16 @@
         return queue(service).rollout().count(grants(service), now);
     }
 
+    /**
+     * Sets whether queued online requests are served by fair shares of their teams instead of in the order of their
+     * arrival. Must be called before the first ask.
+     */
+    public void fairSharing(boolean value) {
+        fairSharing = value;
+        services.values()
+                .forEach(queue -> queue.fairOrder(value ? Optional.of(new FairOrder(rates::rate)) : Optional.empty()));
+    }
+
     /**
      * Returns the fraction of the places of a service that online requests have recently left free for items of jobs.
      */
@@ -236,6 +255,7 @@
         if (target != null) {
             target.release(place.batch, outcome, now);
             target.recordOutcome(place.domain, outcome, now);
+            queue.answered(target, outcome, answer, now);
             if (!place.batch && outcome.success()) {
                 target.occupied(now - place.grantedAt);
                 queue.occupied(now - place.grantedAt);
@@ -337,9 +357,20 @@
             expire(queue, queue.online(), now);
             expire(queue, queue.batch(), now);
             drain(queue, now);
+            refuseOvertaken(queue, now);
         });
     }
 
+    /** Refuses the queued asks that cannot be served in time, since asks of other teams go before them. */
+    private void refuseOvertaken(ServiceQueue queue, long now) {
+        List<ServiceQueue.Waiting> overtaken = queue.overtaken(now);
+        if (!overtaken.isEmpty()) {
+            queue.online().removeAll(overtaken);
+            overtaken.forEach(queue::withdrawn);
+            refuseOverloaded(queue, overtaken, now);
+        }
+    }
+
     /**
      * Sets whether items of jobs wait because not all places in use are known.
      *
@@ -377,15 +408,16 @@
                 : !queue.contended(now);
         Optional<TargetPlaces> place = noneAhead ? queue.choose(ask, now) : Optional.empty();
         if (place.isPresent()) {
+            queue.servedAtOnce(ask);
             return Optional.of(grant(queue, ask, place.get(), ask.onTimeNanos(), now));
         }
         if (!ask.batch()) {
-            double wait = queue.expectedWait(now);
+            double wait = queue.expectedWait(ask, now);
             if (wait > ServiceQueue.maxWait(ask)) {
                 return refused(PlacementDecision.Reason.OVERLOADED, millis(wait));
             }
         }
-        (ask.batch() ? queue.batch() : queue.online()).add(new ServiceQueue.Waiting(ask, now));
+        queue.add(ask, now);
         if (!ask.batch()) {
             recallOne(queue, now);
         }
@@ -436,6 +468,7 @@
             return false;
         }
         waiting.remove(next);
+        queue.served(next);
         sink.decided(next.ask(), grant(queue, next.ask(), place.get(), next.slack(now), now));
         return true;
     }
@@ -464,11 +497,17 @@
             ServiceQueue.Waiting next = iterator.next();
             if (next.expired(now, next.ask().batch() ? BATCH_ASK_TIMEOUT_NANOS : ASK_TIMEOUT_NANOS)) {
                 iterator.remove();
+                queue.withdrawn(next);
                 expired.add(next);
             }
         }
+        refuseOverloaded(queue, expired, now);
+    }
+
+    /** Refuses asks that have been removed from a queue. */
+    private void refuseOverloaded(ServiceQueue queue, List<ServiceQueue.Waiting> asks, long now) {
         long retry = millis(queue.expectedWait(now));
-        expired.forEach(next ->
+        asks.forEach(next ->
                 sink.decided(next.ask(), new PlacementDecision.Refused(PlacementDecision.Reason.OVERLOADED, retry)));
     }
 
@@ -531,7 +570,11 @@
 
     /** Returns the queue of a service, created when it is first needed. */
     private ServiceQueue queue(String service) {
-        return services.computeIfAbsent(service, name -> new ServiceQueue());
+        return services.computeIfAbsent(service, name -> {
+            ServiceQueue queue = new ServiceQueue();
+            queue.fairOrder(fairSharing ? Optional.of(new FairOrder(rates::rate)) : Optional.empty());
+            return queue;
+        });
     }
 
     private static Optional<PlacementDecision> refused(PlacementDecision.Reason reason, long millis) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.tanagermoor.policy.target.TargetPace;
 
 /** The targets of a service and the asks that wait for their places. Not thread-safe. */
 final class ServiceQueue {
@@ -55,6 +56,15 @@
     /** The mean time for which an online request occupies a place, in nanoseconds. */
     private double occupancyNanos = INITIAL_OCCUPANCY_NANOS;
 
+    /** The mean time to the first event of an answer, in nanoseconds; 0 before the first one. */
+    private double firstEventNanos;
+
+    /** Whether any target of the service has reported its speed. */
+    private boolean speedReported;
+
+    /** The order of online requests by fair shares; empty if the order of arrival decides. */
+    private Optional<FairOrder> fairOrder = Optional.empty();
+
     /** Estimates the fraction of the places that online requests leave free. */
     private HeadroomEstimator estimator = HeadroomEstimator.of();
 
@@ -79,6 +89,20 @@
         return rollout;
     }
 
+    /** Sets the order of online requests by fair shares; without one, the order of arrival decides. */
+    void fairOrder(Optional<FairOrder> value) {
+        fairOrder = value;
+    }
+
+    /**
+     * Returns the pace of a target that is new, in a service whose targets report their speed, or else no pace.
+     *
+     * @param now The current monotonic time in nanoseconds.
+     */
+    TargetPace startingPace(long now) {
+        return speedReported ? TargetPace.ofStart(now) : TargetPace.ofFull(now);
+    }
+
     /** Returns the queued online requests; changes take effect. */
     List<Waiting> online() {
         return online;
@@ -97,8 +121,39 @@
                         .findFirst();
     }
 
+    /** Queues an ask. */
+    void add(Ask ask, long now) {
+        if (ask.batch()) {
+            batch.add(new Waiting(ask, 0, now));
+        } else {
+            online.add(new Waiting(ask, fairOrder.map(order -> order.add(ask)).orElse(0.0), now));
+        }
+    }
+
+    /** Records that a queued ask is not granted a place. */
+    void withdrawn(Waiting waiting) {
+        if (!waiting.ask().batch()) {
+            fairOrder.ifPresent(order -> order.withdrawn(waiting.ask(), waiting.position()));
+        }
+    }
+
+    /** Records that a queued ask is granted a place. */
+    void served(Waiting waiting) {
+        if (!waiting.ask().batch()) {
+            fairOrder.ifPresent(order -> order.served(waiting.ask(), waiting.position()));
+        }
+    }
+
+    /** Records that an ask is granted a place without having been queued. */
+    void servedAtOnce(Ask ask) {
+        if (!ask.batch()) {
+            fairOrder.ifPresent(order -> order.served(ask, order.add(ask)));
+        }
+    }
+
     /** Removes the ask with a permit of a holder, if it is queued. */
     void remove(String holder, long permit) {
+        online.stream().filter(waiting -> waiting.matches(holder, permit)).forEach(this::withdrawn);
         online.removeIf(waiting -> waiting.matches(holder, permit));
         batch.removeIf(waiting -> waiting.matches(holder, permit));
     }
@@ -109,11 +164,27 @@
     }
 
     /**
-     * Returns the time that a new online request is expected to wait, in nanoseconds: behind those that can be on time,
-     * while places are returned one after the other. Items of jobs return their places within {@link #RECALL_NANOS}.
+     * Returns the time that a new online request is expected to wait, in nanoseconds: behind those that can be on time
+     * and are served before it, while places are returned one after the other. Items of jobs return their places within
+     * {@link #RECALL_NANOS}.
      */
+    double expectedWait(Ask ask, long now) {
+        double own = fairOrder.map(order -> order.position(ask)).orElse(Double.MAX_VALUE);
+        return expectedWait(
+                online.stream()
+                        .filter(waiting -> waiting.onTime(now) && waiting.position() <= own)
+                        .count(),
+                now);
+    }
+
+    /** Returns the time that an online request is expected to wait behind all that can be on time, in nanoseconds. */
     double expectedWait(long now) {
-        long before = online.stream().filter(waiting -> waiting.onTime(now)).count();
+        return expectedWait(
+                online.stream().filter(waiting -> waiting.onTime(now)).count(), now);
+    }
+
+    /** Returns the time that an online request is expected to wait behind a number of others, in nanoseconds. */
+    private double expectedWait(long before, long now) {
         long position = before + 1 - batchPlaces(now);
         return position <= 0 ? RECALL_NANOS : position * occupancyNanos / (usablePlaces(now) + 1);
     }
@@ -123,7 +194,7 @@
         return places.values().stream()
                 .filter(rollout.permitted(now))
                 .filter(place -> place.usable(now))
-                .mapToInt(place -> place.entry().capacity())
+                .mapToInt(place -> place.places(now))
                 .sum();
     }
 
@@ -167,17 +238,21 @@
         Optional<TargetPlaces> best = places.values().stream()
                 .filter(place -> available(place, ask, now) && permitted.test(place))
                 .min(Comparator.<TargetPlaces, Boolean>comparing(place -> place.suspected(ask.domain(), now))
-                        .thenComparingDouble(place -> place.load(occupancyNanos))
+                        .thenComparingDouble(place -> load(place, now))
                         .thenComparing(place -> !place.entry().domain().equals(ask.domain())));
-        double maxLoad =
-                best.map(place -> place.load(occupancyNanos) + PROMPT_LOAD).orElse(0.0);
+        double maxLoad = best.map(place -> load(place, now) + PROMPT_LOAD).orElse(0.0);
         return remembered(ask)
                 .filter(permitted)
                 .filter(last -> available(last, ask, now) && !last.suspected(ask.domain(), now))
-                .filter(last -> last.load(occupancyNanos) <= maxLoad)
+                .filter(last -> load(last, now) <= maxLoad)
                 .or(() -> best);
     }
 
+    /** Returns the load of a target: by the speeds that targets report, if any does, or else by places and times. */
+    private double load(TargetPlaces place, long now) {
+        return speedReported ? place.expectedTime(now) : place.load(occupancyNanos);
+    }
+
     /** Returns whether a target has a free place now and is not excluded by the ask. */
     private static boolean available(TargetPlaces place, Ask ask, long now) {
         return place.available(now) && !ask.excluded().contains(place.entry().id());
@@ -220,6 +295,49 @@
         estimator.observe(usablePlaces <= 0 ? 0 : Math.max(0, usablePlaces - online) / (double) usablePlaces, now);
     }
 
+    /**
+     * Records how a target answered.
+     *
+     * @param target The target.
+     * @param outcome How the use of the place ended.
+     * @param answer The answer.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    void answered(TargetPlaces target, PlaceOutcome outcome, RunAnswer answer, long now) {
+        boolean paced = target.paced();
+        target.answered(outcome, answer, firstEventNanos, now);
+        speedReported |= target.reportsSpeed();
+        if (!paced && answer.firstEventNanos() > 0 && outcome.success()) {
+            firstEventNanos = firstEventNanos == 0
+                    ? answer.firstEventNanos()
+                    : firstEventNanos + OCCUPANCY_WEIGHT * (answer.firstEventNanos() - firstEventNanos);
+        }
+    }
+
+    /**
+     * Returns the queued online requests that cannot be served in time any more, because requests of teams with a larger
+     * claim arrived after them.
+     *
+     * @param now The current monotonic time in nanoseconds.
+     */
+    List<Waiting> overtaken(long now) {
+        if (fairOrder.isEmpty() || online.isEmpty()) {
+            return List.of();
+        }
+        List<Waiting> result = new ArrayList<>();
+        long before = 0;
+        for (Waiting waiting : online.stream()
+                .sorted(Comparator.comparingDouble(Waiting::position))
+                .toList()) {
+            if (expectedWait(before, now) > waiting.remainingWait(now)) {
+                result.add(waiting);
+            } else {
+                before++;
+            }
+        }
+        return result;
+    }
+
     /** Updates the mean with the time for which an online request occupied its place. */
     void occupied(long nanos) {
         occupancyNanos += OCCUPANCY_WEIGHT * (nanos - occupancyNanos);
@@ -231,13 +349,20 @@
     }
 
     /**
-     * Returns the online request that is served next: among those that can still be on time, the first one whose caller
-     * came back after a refusal; otherwise the one that has waited longest.
+     * Returns the online request that is served next: among those that can still be on time, the first one by fair
+     * shares, if these decide, or else the first one whose caller came back after a refusal; otherwise the one that has
+     * waited longest.
      *
      * @param now The current monotonic time in nanoseconds.
      * @return The request; the queue must not be empty.
      */
     Waiting nextOnline(long now) {
+        if (fairOrder.isPresent()) {
+            return online.stream()
+                    .filter(waiting -> waiting.onTime(now))
+                    .min(Comparator.comparingDouble(Waiting::position))
+                    .orElseGet(() -> online.get(0));
+        }
         Waiting next = online.get(0);
         boolean found = false;
         for (Waiting waiting : online) {
@@ -289,7 +414,7 @@
         return places.values().stream()
                 .filter(rollout.permitted(now))
                 .filter(place -> place.usable(now))
-                .mapToInt(place -> Math.max(0, place.free()))
+                .mapToInt(place -> Math.max(0, place.free(now)))
                 .sum();
     }
 
@@ -298,6 +423,9 @@
 
         private final Ask ask;
 
+        /** The position in the order of fair shares; 0 if the order of arrival decides. */
+        private final double position;
+
         /** The monotonic time of its arrival in nanoseconds. */
         private final long arrivedAt;
 
@@ -305,8 +433,9 @@
         private long lastAskedAt;
 
         /** Creates a queued ask that arrived now. */
-        Waiting(Ask ask, long now) {
+        Waiting(Ask ask, double position, long now) {
             this.ask = ask;
+            this.position = position;
             arrivedAt = now;
             lastAskedAt = now;
         }
@@ -315,6 +444,10 @@
             return ask;
         }
 
+        double position() {
+            return position;
+        }
+
         /** Returns whether this is the ask with a permit of a holder. */
         boolean matches(String holder, long permit) {
             return ask.permit() == permit && ask.holder().equals(holder);
@@ -325,6 +458,11 @@
             return arrivedAt + ask.onTimeNanos() - now;
         }
 
+        /** Returns the longest further wait that is worth while, in nanoseconds; below 0 if there is none. */
+        long remainingWait(long now) {
+            return arrivedAt + maxWait(ask) - now;
+        }
+
         /** Returns whether it can still be on time. */
         boolean onTime(long now) {
             return slack(now) >= 0;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
@@ -6,6 +6,8 @@
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.policy.budget.RateLimit;
 import org.tanagermoor.policy.budget.TokenBucket;
+import org.tanagermoor.policy.target.TargetPace;
+import org.tanagermoor.policy.target.TargetSpeed;
 
 /**
  * The places of one target: its capacity for requests in progress, which of them are in use, and whether the target may
@@ -67,12 +69,24 @@
     /** The mean time for which an online request occupied a place, in nanoseconds; 0 before the first observation. */
     private double occupancyNanos;
 
+    /** The speed that the target reports. */
+    private final TargetSpeed speed = TargetSpeed.of();
+
+    /** How many requests the target may have; limits only the targets of a service that report their speed. */
+    private final TargetPace pace;
+
     /**
-     * Creates the places of a target, none of them in use; a cold one accepts the given requests per second, 0 for no
-     * limit.
+     * Creates the places of a target that is not limited by its pace, none of them in use; a cold one accepts the given
+     * requests per second, 0 for no limit.
      */
     TargetPlaces(TargetEntry entry, double coldPerSecond, long now) {
+        this(entry, coldPerSecond, TargetPace.ofFull(now), now);
+    }
+
+    /** Creates the places of a target with a pace. */
+    TargetPlaces(TargetEntry entry, double coldPerSecond, TargetPace pace, long now) {
         this.entry = entry;
+        this.pace = pace;
         avoidUntil = now;
         record = new TargetRecord(now);
         coldUntil = now + TimeUnit.MILLISECONDS.toNanos(entry.warmupLeftMillis());
@@ -91,9 +105,49 @@
         return entry;
     }
 
-    /** Returns the number of places that are not in use; below 0 if the capacity was reduced. */
-    int free() {
-        return entry.capacity() - online - batch;
+    /** Returns the number of places that the target may have in use now. */
+    int places(long now) {
+        return pace.allowed(entry.capacity(), now);
+    }
+
+    /** Returns the number of places that are not in use; below 0 if the capacity or the pace was reduced. */
+    int free(long now) {
+        return places(now) - online - batch;
+    }
+
+    /** Returns whether the target has reported its speed. */
+    boolean reportsSpeed() {
+        return speed.reported();
+    }
+
+    /** Returns whether the pace of the target is below its capacity. */
+    boolean paced() {
+        return !pace.full();
+    }
+
+    /**
+     * Returns how long a further request is expected to take at the target by the speed that it reports.
+     *
+     * @param now The current monotonic time in nanoseconds.
+     * @return The time relative to that at an idle target of usual speed; lower is better.
+     */
+    double expectedTime(long now) {
+        return speed.expectedTime(online + batch, entry.capacity(), now);
+    }
+
+    /**
+     * Records how the target answered a request.
+     *
+     * @param outcome How the use of the place ended.
+     * @param answer The answer.
+     * @param usualFirstEventNanos The usual time to the first event at the targets of the service, in nanoseconds.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    void answered(PlaceOutcome outcome, RunAnswer answer, double usualFirstEventNanos, long now) {
+        answer.load().ifPresent(report -> speed.report(report.load().workPercent(), report.receivedAt()));
+        if (outcome.success() && !answer.failedAnswer()) {
+            pace.answered(answer.firstEventNanos(), (long) usualFirstEventNanos, entry.capacity(), now);
+        }
     }
 
     /** Returns the number of places in use by online requests. */
@@ -108,7 +162,7 @@
 
     /** Returns whether the target is neither draining nor avoided. */
     boolean usable(long now) {
-        return !entry.draining() && now - avoidUntil >= 0;
+        return !entry.draining() && now - avoidUntil >= 0 && places(now) > 0;
     }
 
     /**
@@ -117,7 +171,7 @@
      */
     boolean available(long now) {
         return usable(now)
-                && free() > 0
+                && free(now) > 0
                 && (now - coldUntil >= 0 || cold.refill(cold.limit().burst(), now) >= 1);
     }
 
@@ -151,6 +205,9 @@
      * @return Whether other targets are preferable.
      */
     boolean suspected(String domain, long now) {
+        if (pace.recovering() || (pace.trialDue(now) && online + batch == 0)) {
+            return false;
+        }
         TargetRecord domainRecord = recordsByDomain.get(domain);
         return record.suspected(now) || (domainRecord != null && domainRecord.suspected(now));
     }
@@ -201,7 +258,16 @@
         }
     }
 
+    /**
+     * Avoids the target. One that reports its speed is then used at the pace at which it answers; another one is used as
+     * before when the time is over.
+     */
     private void avoid(long now) {
+        if (speed.reported()) {
+            pace.failed(now);
+            failures++;
+            return;
+        }
         long nanos = UNREACHABLE_AVOID_NANOS << Math.min(failures, MAX_DOUBLINGS);
         failures++;
         avoidUntil = Math.max(avoidUntil, now + nanos);
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TeamRates.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TeamRates.java
@@ -74,6 +74,18 @@
         apply(now);
     }
 
+    /** Returns the configured rate of a team per second, or the mean of all rates, or 1, if it has no limit. */
+    double rate(String team) {
+        RateLimit limit = limits.get(team);
+        if (limit != null) {
+            return limit.perSecond();
+        }
+        return limits.values().stream()
+                .mapToDouble(RateLimit::perSecond)
+                .average()
+                .orElse(1);
+    }
+
     /** Returns whether any team has a limit. */
     public boolean limited() {
         return !limits.isEmpty();
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/target/TargetPace.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/target/TargetPace.java
@@ -17,8 +17,16 @@
     /** The pause after a first failure in nanoseconds, well below the time in which a target starts again. */
     private static final long FIRST_PAUSE_NANOS = Duration.ofMillis(250).toNanos();
 
-    /** The maximum number of doublings of the pause, up to 4 s, so that a target is found within 5 s of its return. */
-    private static final int MAX_DOUBLINGS = 4;
+    /**
+     * The maximum number of doublings of the pause of a target that answers nothing, up to 2 s: it is found soon after its
+     * return, and few callers meet it before.
+     */
+    private static final int MAX_DOUBLINGS = 3;
+
+    /**
+     * The same for a target that fails some requests and answers others, up to 8 s: each of its attempts fails a request.
+     */
+    private static final int MAX_MIXED_DOUBLINGS = 5;
 
     /**
      * The time to the first event, relative to that of the service, from which an answer is late: above the variation
@@ -26,15 +34,18 @@
      */
     private static final double LATE_FACTOR = 2;
 
+    /** The number of answers in time after which a target that has failed counts as recovering. */
+    private static final int RECOVERY_ANSWERS = 2;
+
     /** The minimum time between two halvings in nanoseconds; answers that were in progress together count once. */
     private static final long HALVING_NANOS = Duration.ofMillis(200).toNanos();
 
-    /** The number of consecutive attempts that count, so that the next attempts of a bad target grow more slowly. */
-    private static final int MAX_ATTEMPTS = 8;
-
     /** The number of requests that the target may have in progress. */
     private double requests;
 
+    /** The number of answers in time in the current attempt. */
+    private int answers;
+
     /** Whether the target has been found to answer as usual with all its places in use. */
     private boolean full;
 
@@ -77,6 +88,16 @@
         return full;
     }
 
+    /** Returns whether the target is being tried again after failures, and has answered as usual several times since. */
+    public boolean recovering() {
+        return !full && failedAttempts > 0 && answers >= RECOVERY_ANSWERS;
+    }
+
+    /** Returns whether a request would find out whether the target has recovered: it is not paused, and none has yet. */
+    public boolean trialDue(long now) {
+        return !full && failedAttempts > 0 && answers < RECOVERY_ANSWERS && now - pausedUntil >= 0;
+    }
+
     /**
      * Returns how many requests the target may have in progress.
      *
@@ -111,7 +132,8 @@
             }
             return;
         }
-        requests += 1.0 / (1 + failedAttempts);
+        answers++;
+        requests++;
         if (requests >= capacity) {
             full = true;
             failedAttempts = 0;
@@ -127,8 +149,10 @@
         if (now - pausedUntil < 0) {
             return;
         }
-        pausedUntil = now + (FIRST_PAUSE_NANOS << Math.min(failedAttempts, MAX_DOUBLINGS));
-        failedAttempts = Math.min(MAX_ATTEMPTS, failedAttempts + 1);
+        int maxDoublings = answers > 0 ? MAX_MIXED_DOUBLINGS : MAX_DOUBLINGS;
+        pausedUntil = now + (FIRST_PAUSE_NANOS << Math.min(failedAttempts, maxDoublings));
+        answers = 0;
+        failedAttempts++;
         requests = INITIAL_REQUESTS;
         full = false;
     }
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/target/VirtualTimes.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/target/VirtualTimes.java
@@ -18,10 +18,15 @@
     /** The virtual finish time of the last request of each flow. */
     private final Map<K, Double> lastFinishes = new HashMap<>();
 
+    /** The number of requests of an idle flow that are served as if they had arrived earlier. */
+    private final double burst;
+
     /** The virtual start time of the request that was served last. */
     private double now;
 
-    private VirtualTimes() {}
+    private VirtualTimes(double burst) {
+        this.burst = burst;
+    }
 
     /**
      * Returns virtual times without any request.
@@ -29,7 +34,18 @@
      * @param <F> The type of the flows.
      */
     public static <F> VirtualTimes<F> of() {
-        return new VirtualTimes<>();
+        return new VirtualTimes<>(0);
+    }
+
+    /**
+     * Returns virtual times without any request, in which a flow that has been idle may catch up with a few requests. A
+     * flow with a small weight, whose requests seldom come evenly, would otherwise wait long for its second one.
+     *
+     * @param <F> The type of the flows.
+     * @param burst The number of requests.
+     */
+    public static <F> VirtualTimes<F> ofBurst(double burst) {
+        return new VirtualTimes<>(burst);
     }
 
     /**
@@ -40,17 +56,22 @@
      * @return The virtual start time of the request; requests are served in the ascending order of these.
      */
     public double add(K flow, double cost) {
-        double start = start(flow);
+        double start = start(flow, cost);
         lastFinishes.put(flow, start + cost);
         if (lastFinishes.size() > PRUNE_SIZE) {
-            lastFinishes.values().removeIf(finish -> finish <= now);
+            lastFinishes.values().removeIf(finish -> finish <= now - burst * cost);
         }
         return start;
     }
 
-    /** Returns the virtual start time that the next request of a flow would get. */
-    public double start(K flow) {
-        return Math.max(now, lastFinishes.getOrDefault(flow, 0.0));
+    /**
+     * Returns the virtual start time that the next request of a flow would get.
+     *
+     * @param flow The flow.
+     * @param cost The cost of the request divided by the weight of the flow, above 0.
+     */
+    public double start(K flow, double cost) {
+        return Math.max(now - burst * cost, lastFinishes.getOrDefault(flow, Double.NEGATIVE_INFINITY));
     }
 
     /** Records that a request with the given virtual start time is served. */
