--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/target/TargetPace.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/target/TargetPace.java
@@ -18,13 +18,13 @@
     private static final long FIRST_PAUSE_NANOS = Duration.ofMillis(250).toNanos();
 
     /**
-     * The maximum number of doublings of the pause of a target that answers nothing, up to 2 s: it is found soon after its
-     * return, and few callers meet it before.
+     * The maximum number of doublings of the pause of a target that answers nothing, up to 2 s: it is found soon after
+     * its return, and few callers meet it before.
      */
     private static final int MAX_DOUBLINGS = 3;
 
     /**
-     * The same for a target that fails some requests and answers others, up to 8 s: each of its attempts fails a request.
+     * The same for a target that fails some requests and answers others, up to 8 s: each attempt fails a request.
      */
     private static final int MAX_MIXED_DOUBLINGS = 5;
 
@@ -88,12 +88,17 @@
         return full;
     }
 
-    /** Returns whether the target is being tried again after failures, and has answered as usual several times since. */
+    /** Returns whether the target is used again after failures, and has answered as usual several times since. */
     public boolean recovering() {
         return !full && failedAttempts > 0 && answers >= RECOVERY_ANSWERS;
     }
 
-    /** Returns whether a request would find out whether the target has recovered: it is not paused, and none has yet. */
+    /**
+     * Returns whether a request would find out whether the target has recovered: it is not paused, and too few requests
+     * have been answered since it failed.
+     *
+     * @param now The current monotonic time in nanoseconds.
+     */
     public boolean trialDue(long now) {
         return !full && failedAttempts > 0 && answers < RECOVERY_ANSWERS && now - pausedUntil >= 0;
     }
