Use no share on the strength of claims alone that a new run has not lent

Cause: an instance announced a planned stop, the others divided its share, and it started again behind a cut. Its new run claimed its share in the store and used it after 3 s. The others missed nobody and so did not read the claims.

Change: a share that a run has never lent to a dispatcher with most shares, nor had while it had most shares itself, is not used on the strength of claims alone. It is once all missing shares count as lost; otherwise a few instances that start after a loss of all would admit nothing until the others are forgotten.

Test: usesNoShareTwiceAfterAPlannedStopAndAStartBehindACut with 2, 3, 4 and 11 instances. Now all four pass.

Ruled out before: to keep the share of a stopped instance out of use, which costs its part of the rate at each planned stop.

--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/ShareExplorationTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/ShareExplorationTest.java
@@ -142,6 +142,28 @@
         assertThat(fleet.mostAdmitted(WINDOW_MILLIS), is(lessThanOrEqualTo(MOST)));
     }
 
+    /**
+     * An instance announced its stop, the others divided its share, and its next run, which started behind a cut, used
+     * the share as well: the store shows the claims of the run, but the others, who missed nobody, did not read them.
+     */
+    @ParameterizedTest
+    @CsvSource({"2", "3", "4", "11"})
+    void usesNoShareTwiceAfterAPlannedStopAndAStartBehindACut(int size) {
+        ShareExploration fleet = new ShareExploration(size, size, LIMIT);
+        fleet.agreeOnRanks();
+        fleet.advance(10_000);
+        fleet.leave(0);
+        fleet.advance(2_000);
+        fleet.group(0, 1);
+        fleet.advance(20_000);
+        assertThat(fleet.describe(), fleet.mostFractions(), is(lessThanOrEqualTo(1.001)));
+        assertThat(fleet.mostAdmitted(WINDOW_MILLIS), is(lessThanOrEqualTo(MOST)));
+        heal(fleet);
+        fleet.advance(10_000);
+        assertThat(fleet.describe(), fleet.fractions(), is(closeTo(1, 0.001)));
+        assertThat(fleet.mostAdmitted(WINDOW_MILLIS), is(lessThanOrEqualTo(MOST)));
+    }
+
     static void disturb(ShareExploration fleet, Random random) {
         int node = random.nextInt(fleet.size());
         switch (random.nextInt(10)) {
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/share/RateShares.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/share/RateShares.java
@@ -209,18 +209,26 @@
         if (most && had.contains(self)) {
             lender.entrusted(now);
         }
-        long usable = most
-                ? had.size()
-                : had.stream().filter(name -> usable(name, now)).count();
         Set<String> lost = claims.lost(now);
         lost.removeAll(had);
+        boolean alone = lost.containsAll(missing(had));
+        long usable = most
+                ? had.size()
+                : had.stream().filter(name -> usable(name, alone, now)).count();
         return Math.min(1, (double) usable / Math.max(had.size(), total - lost.size()));
     }
 
-    /** Returns whether nobody counts a share as lost that this instance has. */
-    private boolean usable(String name, long now) {
+    /**
+     * Returns whether nobody else uses a share that this instance has. A run that has not lent its share to a
+     * dispatcher with most shares may follow one that announced its stop. The others have then divided the share, and
+     * do not read the claims as long as they miss nobody. So claims count for such a share only once all others count
+     * as lost.
+     *
+     * @param alone Whether all instances whose shares this one lacks count as lost.
+     */
+    private boolean usable(String name, boolean alone, long now) {
         long ago = name.equals(self) ? lender.entrustedAgo(now) : borrower.entrustedAgo(name, now);
-        return ago < ShareClaims.LAPSE_NANOS || claims.relied(name, now);
+        return ago < ShareClaims.LAPSE_NANOS || ((alone || ago != Loan.NEVER) && claims.relied(name, now));
     }
 
     /** Returns the fraction of an initial amount that may be admitted in addition since the last call. */
