Let stand-in targets refuse requests of foreign processes

Cause: a stand-in target executes and records a request of anybody, whatever its path, as a call of a plain service. A process that still polls the port of a target or store that has ended reaches the target that got the port next. Its requests count as executions and take the faults that a test has set.

Shown (trial on a copy of FaultTableTest): while case 53 of runsOtherRequestsAtMostOnce ran, another process polled the ports of its targets with GET /v1/rows-parts, as an instance polls its store.

It answers other requests with 421, and neither records nor executes them nor lets a fault for requests strike them. The default serves everybody. FaultTableTest gives each instance a name of its own, with the id of the process, and names it to its targets.

What the instance sends is counted as before: it states its identity in each request to a target. HttpTargetClientTest checks this now, since all its targets but one refuse exchanges without the identity, resumed streams included.

Tests: StandInTargetTest.runsOnlyRequestsOfItsCaller, six cases.

Remains: a fault that strikes at the opening of a connection may still be taken by a foreign connection, which has no identity by then.

--- a/tanagermoor-online/src/test/java/org/tanagermoor/online/FaultTableTest.java
+++ b/tanagermoor-online/src/test/java/org/tanagermoor/online/FaultTableTest.java
@@ -9,6 +9,7 @@
 
 import java.net.http.HttpRequest;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.parallel.Execution;
@@ -35,6 +36,15 @@
     private static final String SHORT_MILLIS = "1000";
     private static final String LONG_MILLIS = "20000";
 
+    /** The number of instances in this process so far. */
+    private static final AtomicInteger INSTANCES = new AtomicInteger();
+
+    /**
+     * The name of the instance, unlike that of any other on this machine. The targets refuse requests of other
+     * instances, which may still know their port from an earlier target.
+     */
+    private final String name = "entry-" + ProcessHandle.current().pid() + "-" + INSTANCES.incrementAndGet();
+
     private OnlineFixture fixture;
     private String deadlineMillis;
 
@@ -52,7 +62,7 @@
         boolean detectedBySilence = kind == Kind.SILENCE || kind == Kind.LATE;
         String silence = detectedBySilence ? SHORT_MILLIS : LONG_MILLIS;
         deadlineMillis = detectedBySilence ? "2000" : LONG_MILLIS;
-        fixture = new OnlineFixture(TableService.InMemory.of(), "--target-silence-millis=" + silence);
+        fixture = new OnlineFixture(name, TableService.InMemory.of(), "--target-silence-millis=" + silence);
     }
 
     @AfterEach
@@ -135,7 +145,7 @@
     @EnumSource(Shape.class)
     void reportsNotRunWhenNoTargetIsReachable(Shape shape) throws Exception {
         start(Kind.GONE);
-        fixture.addTarget("drafts").close();
+        addTarget("drafts").close();
         OnlineFixture.Answer answer = fixture.send(request(shape, "drafts", "invoices"));
         assertThat(answer.status() + answer.run(), is("503no"));
     }
@@ -144,19 +154,23 @@
     @EnumSource(Shape.class)
     void retriesOnAnotherTargetWhenOneIsUnreachable(Shape shape) throws Exception {
         start(Kind.GONE);
-        fixture.addTarget("drafts").close();
-        StandInTarget other = fixture.addTarget("drafts");
+        addTarget("drafts").close();
+        StandInTarget other = addTarget("drafts");
         OnlineFixture.Answer answer = fixture.send(request(shape, "drafts", "invoices"));
         assertThat(answer.status(), is(200));
         assertThat(other.log().entries().size(), is(1));
     }
 
     private String completeAnswer(Shape shape, String model, String plain) throws Exception {
-        fixture.addTarget(model);
-        fixture.addTarget(model);
+        addTarget(model);
+        addTarget(model);
         return normalized(fixture.send(request(shape, model, plain)).body());
     }
 
+    private StandInTarget addTarget(String model) {
+        return fixture.addTarget(model, "--caller=" + name + "~");
+    }
+
     private void injectFault(Kind kind, Stage stage) {
         fixture.standIns.get(0).faults().replace(List.of(Fault.of(kind, stage).withDelayMillis(LATE_MILLIS)));
     }
@@ -169,7 +183,7 @@
         };
     }
 
-    private static String normalized(String body) {
-        return body.replaceAll("entry~1-\\d+\\.\\d+", "id");
+    private String normalized(String body) {
+        return body.replaceAll(name + "~1-\\d+\\.\\d+", "id");
     }
 }
--- a/tanagermoor-standin/src/main/java/org/tanagermoor/standin/target/StandInTarget.java
+++ b/tanagermoor-standin/src/main/java/org/tanagermoor/standin/target/StandInTarget.java
@@ -42,6 +42,9 @@
     /** The status of what does not exist. */
     private static final int NOT_FOUND = 404;
 
+    /** The status of a request of a foreign caller. */
+    private static final int MISDIRECTED = 421;
+
     /** The status of a full target. */
     private static final int FULL = 503;
 
@@ -215,14 +218,39 @@
                 answer(response, control.cacheEvents(cache.since(number(uri, "after"), System.nanoTime())));
             case "GET /engine" -> answer(response, orders.report(engine.present()));
             case "POST /orders" -> order(response, ControlEndpoints.read(body));
-            case "POST " + COMPLETIONS -> completion(request, response, body);
-            default ->
-                uri.path().startsWith(COMPLETIONS + "/")
-                        ? known(request, uri, response)
-                        : plain(request, response, body);
+            default -> isForeign(request) ? error(response, MISDIRECTED) : serve(request, uri, response, body);
         };
     }
 
+    /**
+     * Serves a request that is not one of the control endpoints.
+     *
+     * @param request The request.
+     * @param uri The address of the request.
+     * @param response The response.
+     * @param body The body.
+     * @return Completes when the answer is written.
+     */
+    private Mono<Void> serve(
+            HttpServerRequest request, QueryStringDecoder uri, HttpServerResponse response, byte[] body) {
+        if (uri.path().startsWith(COMPLETIONS + "/")) {
+            return known(request, uri, response);
+        }
+        boolean completes = request.method().name().equals("POST") && uri.path().equals(COMPLETIONS);
+        return completes ? completion(request, response, body) : plain(request, response, body);
+    }
+
+    /**
+     * Returns whether a request is not one of the only caller. A process that still calls the port of a target or a
+     * store that has ended reaches the target that got the port next.
+     *
+     * @param request The request.
+     * @return Whether it is to be neither recorded nor executed.
+     */
+    private boolean isForeign(HttpServerRequest request) {
+        return !idOf(request).startsWith(options.caller());
+    }
+
     /**
      * Resumes or cancels a completion.
      *
--- a/tanagermoor-standin/src/main/java/org/tanagermoor/standin/target/TargetOptions.java
+++ b/tanagermoor-standin/src/main/java/org/tanagermoor/standin/target/TargetOptions.java
@@ -22,6 +22,7 @@
  * @param loadLag The age of the load that it reports.
  * @param load The time from an order that loads a model, or from a restart, until requests are served.
  * @param seed The seed of the start marks and of the gaps in the cache events.
+ * @param caller The start of the identities of the exchanges of the only caller; empty if anybody may call.
  */
 public record TargetOptions(
         Address address,
@@ -34,7 +35,8 @@
         boolean checksFencing,
         Duration loadLag,
         Duration load,
-        long seed) {
+        long seed,
+        String caller) {
 
     /** The largest capacity. */
     private static final long CAPACITY_MOST = 1_000_000;
@@ -85,6 +87,13 @@
     private static final Setting<Long> SEED =
             Setting.ofNumber("seed", "the seed of all that is chosen at random", "1", 0, Long.MAX_VALUE);
 
+    /** The only caller. */
+    private static final Setting<String> CALLER = new Setting<>(
+            "caller",
+            "the start of the identities of the only caller's exchanges, empty if anybody may call",
+            "",
+            Either::right);
+
     /**
      * Reads options.
      *
@@ -104,7 +113,8 @@
                 CHECKS_FENCING,
                 LOAD_LAG,
                 LOAD,
-                SEED);
+                SEED,
+                CALLER);
         return Settings.parse(known, arguments, environment).map(TargetOptions::of);
     }
 
@@ -126,7 +136,8 @@
                 settings.value(CHECKS_FENCING),
                 settings.value(LOAD_LAG),
                 settings.value(LOAD),
-                settings.value(SEED));
+                settings.value(SEED),
+                settings.value(CALLER));
     }
 
     /**
--- a/tanagermoor-standin/src/test/java/org/tanagermoor/standin/target/StandInTargetTest.java
+++ b/tanagermoor-standin/src/test/java/org/tanagermoor/standin/target/StandInTargetTest.java
@@ -51,6 +51,32 @@
                 is(200));
     }
 
+    /** Polls of another process, to a port that was used again, counted as executions and took faults. */
+    @ParameterizedTest
+    @CsvSource({
+        "a~1, a~1-7, GET, '', 200, 1",
+        "'', '', GET, '', 200, 1",
+        "a~1, '', GET, '', 421, 0",
+        "a~1, '', POST, work, 421, 0",
+        "a~1, b~1-7, GET, '', 421, 0",
+        "a~1, b~1-7, POST, work, 421, 0"
+    })
+    void runsOnlyRequestsOfItsCaller(String caller, String id, String method, String body, int expected, int recorded)
+            throws Exception {
+        start("--caller=" + caller);
+        target.faults()
+                .replace(List.of(Fault.of(Fault.Kind.LATE, Fault.Stage.RECEIVED).withDelayMillis(1)));
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + target.address() + "/health"))
+                .method(method, HttpRequest.BodyPublishers.ofString(body));
+        HttpRequest sent = id.isEmpty()
+                ? request.build()
+                : request.header("x-request-id", id).build();
+        int status = client.send(sent, HttpResponse.BodyHandlers.ofString()).statusCode();
+        assertThat(status, is(expected));
+        assertThat(target.log().entries().size(), is(recorded));
+        assertThat(target.faults().takeForRequest().isPresent(), is(recorded == 0));
+    }
+
     @Test
     void refusesWhatDoesNotFitAndSaysSo() throws Exception {
         start("--capacity=1", "--first-token-millis=600000");
--- a/tanagermoor-target/src/test/java/org/tanagermoor/target/client/HttpTargetClientTest.java
+++ b/tanagermoor-target/src/test/java/org/tanagermoor/target/client/HttpTargetClientTest.java
@@ -44,8 +44,10 @@
     private static final long LATE_MILLIS = 3_000;
     private static final int TOKENS = 4;
 
-    private final StandInTarget standIn =
-            StandInTarget.start(TargetOptions.parse(List.of(), Map.of()).get());
+    /** The start of all identities of exchanges. Targets refuse each request that does not state one of them. */
+    private static final String CALLER = "exchange-";
+
+    private final StandInTarget standIn = standIn();
     private final HttpTargetClient client = HttpTargetClient.of(Context.of(
             Settings.parse(List.of(), List.of(), Map.of()).get(),
             new EventLog.Disabled(),
@@ -144,8 +146,7 @@
 
     @Test
     void cancelsAbandonedRequestsAtTheTarget() throws Exception {
-        StandInTarget slow = StandInTarget.start(
-                TargetOptions.parse(List.of("--token-millis=50"), Map.of()).get());
+        StandInTarget slow = standIn("--token-millis=50");
         try {
             TargetRequest request = completion("left", NO_SILENCE);
             client.send(target(slow), request).ofType(AnswerPart.Piece.class).blockFirst(BLOCK_TIMEOUT);
@@ -158,8 +159,7 @@
     @ParameterizedTest
     @CsvSource({"false, whole", "true, UNAVAILABLE unknown"})
     void resumesACancelledStreamUnlessTheTargetRestarted(boolean restarts, String expected) throws Exception {
-        StandInTarget slow = StandInTarget.start(
-                TargetOptions.parse(List.of("--token-millis=300"), Map.of()).get());
+        StandInTarget slow = standIn("--token-millis=300");
         try {
             TargetRequest request = completion("left", NO_SILENCE);
             List<AnswerPart> firstParts =
@@ -194,7 +194,9 @@
         reactor.netty.DisposableServer server = reactor.netty.http.server.HttpServer.create()
                 .host("127.0.0.1")
                 .handle((request, response) -> {
-                    response.status(status).header("x-request-id", "refused").header("content-length", "0");
+                    response.status(status)
+                            .header("x-request-id", CALLER + "refused")
+                            .header("content-length", "0");
                     if (run != null) {
                         response.header("x-run", run);
                     }
@@ -236,12 +238,18 @@
     }
 
     private TargetRequest plain(String path, Duration silence) {
-        return new TargetRequest("r", "POST", path, "text/plain", bytes("body"), silence);
+        return new TargetRequest(CALLER + "r", "POST", path, "text/plain", bytes("body"), silence);
     }
 
     private static TargetRequest completion(String id, Duration silence) {
         String body = "{\"model\":\"assistant\",\"prompt\":\"a pole\",\"max_tokens\":" + TOKENS + ",\"stream\":true}";
-        return new TargetRequest(id, "POST", "/v1/completions", "application/json", bytes(body), silence);
+        return new TargetRequest(CALLER + id, "POST", "/v1/completions", "application/json", bytes(body), silence);
+    }
+
+    private static StandInTarget standIn(String... flags) {
+        List<String> arguments = new ArrayList<>(List.of(flags));
+        arguments.add("--caller=" + CALLER);
+        return StandInTarget.start(TargetOptions.parse(arguments, Map.of()).get());
     }
 
     private static byte[] bytes(String text) {
