Take no reset before an answer for a crash under its prompt

Cause: a run whose connection ended before any byte of an answer counted as a crash of its target under the parts of its prompt. Targets that reset each connection on which they get a request, while their health checks are good, thus accused a part that many requests share.

Change: PlaceOutcome.ofEarlyEnd takes whether that head was received in the run. Without it the outcome is FAILED, which counts against the target alone.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PlaceOutcome.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PlaceOutcome.java
@@ -37,12 +37,17 @@
     private static final int MAX_CRASH_EVENTS = 1;
 
     /**
-     * Returns the outcome of a run whose connection ended before its answer was complete.
+     * Returns the outcome of a run whose connection ended before its answer was complete. A target that crashes on a
+     * prompt has begun to answer; a connection that is reset before says nothing about the prompt.
      *
+     * @param accepted Whether the head of a success that the target has signed was received in this run.
      * @param events The number of events that the target sent in this run.
      * @param resumable Whether another run can go on after these events, and thus has made progress.
      */
-    public static PlaceOutcome ofEarlyEnd(long events, boolean resumable) {
+    public static PlaceOutcome ofEarlyEnd(boolean accepted, long events, boolean resumable) {
+        if (!accepted) {
+            return FAILED;
+        }
         if (events <= MAX_CRASH_EVENTS) {
             return CRASHED;
         }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -99,6 +99,9 @@
     /** Whether the answer that is passed on is a successful stream of events, the only one that can be resumed. */
     private boolean streaming;
 
+    /** Whether the head of a success was received in the current run. */
+    private boolean accepted;
+
     /** The number of the last event that was sent to the caller. */
     private long lastEvent;
 
@@ -236,6 +239,7 @@
         }
         attempts++;
         log.placed(id, left, now);
+        accepted = false;
         run = new OnlineRun(context, this, entry, lastEvent);
         // A run that may not be repeated is worth waiting for.
         run.start(
@@ -247,7 +251,9 @@
     /** Handles the head of the answer in a run. */
     void headReceived(OnlineRun from, TargetHead answer, HttpResponse response) {
         log.headReceived(answer);
-        switch (Verdict.of(answer)) {
+        Verdict verdict = Verdict.of(answer);
+        accepted = verdict instanceof Verdict.Succeeded;
+        switch (verdict) {
             case Verdict.NotRun notRun -> retryNotRun("the target did not run the request", PlaceOutcome.FULL);
             case Verdict.Unproven unproven -> retryOrFail("the target did not sign its answer: " + unproven.status());
             case Verdict.Failed failed
@@ -403,7 +409,7 @@
 
     /** Returns the outcome of a run whose connection has ended too early. */
     private PlaceOutcome endedOutcome() {
-        return PlaceOutcome.ofEarlyEnd(runEvents(), route.resumable());
+        return PlaceOutcome.ofEarlyEnd(accepted, runEvents(), route.resumable());
     }
 
     /** Returns whether the route, its attempts and the deadline allow another run. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -419,7 +419,9 @@
             recordFailedRun("the answer ended inside an event");
             excluded.add(targetId());
             retry(
-                    delivery.framed() ? PlaceOutcome.FAILED : PlaceOutcome.ofEarlyEnd(lastEvent - startEvent, true),
+                    delivery.framed()
+                            ? PlaceOutcome.FAILED
+                            : PlaceOutcome.ofEarlyEnd(accepted, lastEvent - startEvent, true),
                     RETRY_DELAY_MILLIS);
             return;
         }
@@ -441,7 +443,9 @@
         } else {
             boolean connectionEnded = failure.kind() == Failure.Kind.UNAVAILABLE;
             retry(
-                    connectionEnded ? PlaceOutcome.ofEarlyEnd(lastEvent - startEvent, true) : PlaceOutcome.FAILED,
+                    connectionEnded
+                            ? PlaceOutcome.ofEarlyEnd(accepted, lastEvent - startEvent, true)
+                            : PlaceOutcome.FAILED,
                     RETRY_DELAY_MILLIS);
         }
     }
