Count no crash of a target that was up too soon, or that fails otherwise

Cause: a run that broke off at its beginning counted as a crash under its prompt unless a whole answer came from the same target within 1.5 s. Targets that break off each run after the head of its answer, or go down and up, thus accused parts that many requests share. The reports also counted by their order.

Change: TargetHistory keeps what each target did. A crash does not count if the target answered, refused or failed a later request before it can have started again. It is in doubt if the target broke off runs without the mark at another moment, or was up too soon after another supposed crash; then five crashes are needed instead of three. Three crashes accuse a part only under three different requests. The crashes that followed one another are found when the evidence is weighed, so that late reports count like others.

PartGuardTest let a target crash and answer within 0.3 s, which now shows that it did not crash. Its crashed targets get no further request instead; the numbers that it expects are unchanged.

Guarded by CrashEvidenceTest.countsNoCrashOfATargetThatFailsOtherwise.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
@@ -53,11 +53,16 @@
 
     /** Records how the use of a place ended. */
     void ended(Grant grant, PlaceOutcome outcome, long now) {
-        if (outcome == PlaceOutcome.SERVED) {
-            List<String> marks = grant.prompt.marks();
-            evidence.answered(grant.holder, grant.target, marks, now);
-            quarantine.answered(marks, grant.sentAt, now).forEach(onChange);
-            accuse(now);
+        List<String> marks = grant.prompt.marks();
+        switch (outcome) {
+            case SERVED -> {
+                evidence.answered(grant.holder, grant.target, marks, now);
+                quarantine.answered(marks, grant.sentAt, now).forEach(onChange);
+                accuse(now);
+            }
+            case FAILED -> evidence.failed(grant.target, marks, grant.sentAt, now);
+            case FULL -> evidence.declined(grant.target, grant.sentAt, now);
+            default -> {}
         }
         String run = DispatchCodec.run(grant.holder, grant.permit);
         outcome.suspected(grant.prompt)
@@ -77,8 +82,7 @@
                 accusation.isPresent();
                 accusation = evidence.accusation(now)) {
             evidence.explain(accusation.get());
-            onChange.accept(
-                    quarantine.hold(accusation.get().mark(), accusation.get().evidence(), now));
+            onChange.accept(quarantine.hold(accusation.get().mark(), accusation.get().evidence(), now));
         }
     }
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/PartGuardTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/PartGuardTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -30,6 +31,9 @@
 
     private int crashes;
 
+    /** The targets that have crashed: they get no request before they can have started again. */
+    private final Set<String> crashed = new HashSet<>();
+
     /** Replaces the targets by many, since each crash avoids one for a while. */
     @BeforeEach
     void manyTargets() {
@@ -47,6 +51,8 @@
         crash(2);
         answers(1);
         assertThat(granted(dispatcher.ask(deadly(FIRST_DEADLY + 50), now)), is(true));
+        // The targets have started again, and all places are in use.
+        crashed.clear();
         IntStream.range(1, TARGETS).forEach(place -> sound());
         assertThat(dispatcher.ask(deadly(FIRST_DEADLY + 51), now), is(Optional.empty()));
         advance(10);
@@ -124,7 +130,7 @@
         for (int run = 0; run < count; run++) {
             long permit = FIRST_DEADLY + permits++;
             Ask ask = deadly(++crashes % 2 == 0 ? "x" : "y", permit);
-            assertThat(granted(dispatcher.ask(ask, now)), is(true));
+            crashed.add(grantedTarget(dispatcher.ask(ask, now)));
             advance(100);
             dispatcher.release(ask.holder(), permit, PlaceOutcome.CRASHED, now);
             advance(100);
@@ -152,16 +158,21 @@
     /** Occupies a place with a request that has the given prompt, and returns the number of its permit. */
     private long place(Prompt prompt) {
         long permit = ++permits;
-        assertThat(granted(dispatcher.ask(online(permit).withPrompt(prompt), now)), is(true));
+        Ask ask = ask("x", permit, false, 5_000, "", crashed).withPrompt(prompt);
+        assertThat(granted(dispatcher.ask(ask, now)), is(true));
         return permit;
     }
 
-    private static Ask deadly(long permit) {
+    private Ask deadly(long permit) {
         return deadly("y", permit);
     }
 
-    private static Ask deadly(String holder, long permit) {
-        return ask(holder, permit, false, 5_000, "", Set.of()).withPrompt(prompt(permit));
+    private Ask deadly(String holder, long permit) {
+        return ask(holder, permit, false, 5_000, "", Set.copyOf(crashed)).withPrompt(prompt(permit));
+    }
+
+    private static String grantedTarget(Optional<PlacementDecision> decision) {
+        return ((PlacementDecision.Granted) decision.orElseThrow()).target();
     }
 
     private static boolean granted(Optional<PlacementDecision> decision) {
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/CrashEvidence.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/CrashEvidence.java
@@ -24,16 +24,30 @@
  *
  * <p>An answered request acquits its marks. A mark is accused by crashes that followed one another: the next request
  * was sent when the crash before it was known. Many targets that are lost at once thus count as one crash. Crashes are
- * explained by a single mark, the one that the fewest requests hold. Not thread-safe.
+ * explained by a single mark, the one that the fewest requests hold.
+ *
+ * <p>Targets with a fault of their own break off sound requests: they reset connections, break answers off, or go down
+ * and up. A target that was up before it can have started again did not crash. One that broke off requests without the
+ * mark at another moment may have crashed for a fault of its own, so that more crashes are needed. The order of the reports does not matter. Not
+ * thread-safe.
  */
 public final class CrashEvidence {
 
     /** The number of crashes that accuse a mark. Fewer than the fleet may suffer, since some evidence may be lost. */
     static final int MIN_CRASHES = 3;
 
+    /**
+     * The number of crashes that accuse a mark if some of them may be faults of the targets, or if requests with it
+     * were answered shortly before: the most that the fleet may suffer.
+     */
+    static final int MIN_DOUBTFUL_CRASHES = 5;
+
     /** The number of different requests among those that accuse a part: a single one is itself the cause. */
     static final int MIN_REQUESTS = 2;
 
+    /** The number of different requests that accuse a part with few crashes, or with doubtful ones. */
+    private static final int MIN_REQUESTS_IN_DOUBT = 3;
+
     /**
      * The number of answers to requests without the mark since its first crash: without any, targets fail for a reason
      * that has nothing to do with the mark. If only one instance reports the crashes, the answers must be its own, as
@@ -44,10 +58,10 @@
     /** The maximum number of suspected marks; the one of the least recent crash is dropped. */
     static final int MAX_SUSPECTS = 1_024;
 
-    /** The maximum number of crashes that are kept for a mark. */
-    private static final int MAX_CRASHES = 8;
+    /** The maximum number of crashes that are kept for a mark; the one that was reported first is dropped. */
+    private static final int MAX_CRASHES = 64;
 
-    /** The maximum number of runs and targets that are remembered to recognize repeated reports. */
+    /** The maximum number of runs and targets that are remembered. */
     private static final int MAX_REMEMBERED = 1_024;
 
     /** The age at which a crash is dropped, in nanoseconds. */
@@ -57,19 +71,16 @@
     private static final long SAME_CRASH_NANOS = Duration.ofSeconds(2).toNanos();
 
     /**
-     * How late the report of an answer may be that was complete before its target crashed, in nanoseconds. A target
-     * that answers later, but before it can have started again, did not crash.
+     * The maximum time in nanoseconds after which a run that failed was broken off by its target; one that failed later
+     * may have met a deadline.
      */
-    private static final long LATE_REPORT_NANOS = Duration.ofMillis(250).toNanos();
-
-    /** The time before which a crashed target cannot have answered again, in nanoseconds. */
-    private static final long RESTART_NANOS = Duration.ofMillis(1_500).toNanos();
+    private static final long MAX_BREAK_NANOS = Duration.ofSeconds(1).toNanos();
 
     /** The suspected marks in the order of their last crashes. */
     private final Map<String, Suspect> suspects = bounded(MAX_SUSPECTS);
 
-    /** The time in nanoseconds at which each target last crashed, by identity. */
-    private final Map<String, Long> crashedAt = bounded(MAX_REMEMBERED);
+    /** What each target has done, by identity. */
+    private final Map<String, TargetHistory> histories = bounded(MAX_REMEMBERED);
 
     /** The time in nanoseconds of the last crash of a target that a quarantined mark explains, by identity. */
     private final Map<String, Long> explainedAt = bounded(MAX_REMEMBERED);
@@ -109,7 +120,8 @@
         if (within(explainedAt.get(crash.target()), crash.brokeAt(), SAME_CRASH_NANOS)) {
             return;
         }
-        crashedAt.put(crash.target(), crash.brokeAt());
+        history(crash.target()).brokeOff(marks, crash.brokeAt());
+        history(crash.target()).answeredAfter(crash.sentAt(), crash.brokeAt());
         Observation observation = new Observation(crash, answers, answersOf(crash.holder()));
         for (int position = 0; position < marks.size(); position++) {
             Suspect known = suspects.remove(marks.get(position));
@@ -135,17 +147,42 @@
     public void answered(String holder, String target, List<String> marks, long now) {
         answers++;
         answersByHolder.merge(holder, 1L, Long::sum);
-        if (suspects.isEmpty()) {
-            return;
+        history(target).lived(now, now);
+        if (!suspects.isEmpty()) {
+            suspects.keySet().removeAll(new HashSet<>(marks));
         }
-        suspects.keySet().removeAll(new HashSet<>(marks));
-        Long last = crashedAt.get(target);
-        if (last != null && now - last >= LATE_REPORT_NANOS && now - last < RESTART_NANOS) {
-            crashedAt.remove(target);
-            withdraw(target, last);
+    }
+
+    /**
+     * Records a run that failed, but not as a crash makes it fail.
+     *
+     * @param target The identity of the target.
+     * @param marks The marks of the prompt.
+     * @param sentAt The monotonic time at which the request was sent, in nanoseconds.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    public void failed(String target, List<String> marks, long sentAt, long now) {
+        history(target).lived(sentAt, now);
+        if (now - sentAt <= MAX_BREAK_NANOS) {
+            history(target).brokeOff(marks, now);
         }
     }
 
+    /**
+     * Records that a target answered that it did not run a request.
+     *
+     * @param target The identity of the target.
+     * @param sentAt The monotonic time at which the request was sent, in nanoseconds.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    public void declined(String target, long sentAt, long now) {
+        history(target).lived(sentAt, now);
+    }
+
+    private TargetHistory history(String target) {
+        return histories.computeIfAbsent(target, name -> new TargetHistory());
+    }
+
     /**
      * Returns the mark that explains the crashes, if the evidence suffices.
      *
@@ -154,26 +191,83 @@
      */
     public Optional<Accusation> accusation(long now) {
         return suspects.entrySet().stream()
-                .filter(entry -> entry.getValue().crashedOften(minRequests(entry.getKey()), now))
-                .filter(entry -> otherAnswers(entry.getValue()) >= MIN_OTHER_ANSWERS)
-                .min(Comparator.<Map.Entry<String, Suspect>>comparingInt(entry -> entry.getValue().runs)
-                        .thenComparing(entry -> -entry.getValue().position))
+                .filter(entry -> entry.getValue().observations.size() >= MIN_CRASHES)
                 .map(entry ->
-                        new Accusation(entry.getKey(), entry.getValue().crashes(), otherAnswers(entry.getValue())));
+                        new Charge(entry.getKey(), entry.getValue(), accusing(entry.getKey(), entry.getValue(), now)))
+                .filter(charge -> !charge.crashes.isEmpty() && otherAnswers(charge.crashes) >= MIN_OTHER_ANSWERS)
+                .min(Comparator.<Charge>comparingInt(charge -> charge.suspect.runs)
+                        .thenComparing(charge -> -charge.suspect.position))
+                .map(charge -> new Accusation(
+                        charge.mark, crashes(charge.crashes), otherAnswers(charge.crashes)));
+    }
+
+    /** Returns the crashes that accuse a mark; none if they do not suffice. */
+    private List<Observation> accusing(String mark, Suspect suspect, long now) {
+        List<Observation> crashed = suspect.observations.stream()
+                .filter(observation ->
+                        now - observation.crash.brokeAt() <= RETENTION_NANOS && !targetLived(observation))
+                .toList();
+        List<Observation> crashes = sequence(crashed);
+        if (crashes.size() < MIN_CRASHES) {
+            return List.of();
+        }
+        int requests = mark.startsWith(Prompt.CONTENT_PREFIX) ? 1 : MIN_REQUESTS_IN_DOUBT;
+        List<Observation> certain = crashed.stream()
+                .filter(observation -> !targetFaulty(mark, observation))
+                .toList();
+        List<Observation> certainCrashes = sequence(certain);
+        if (certainCrashes.size() >= MIN_CRASHES
+                && suspect.requests(certain)
+                        >= (certainCrashes.size() > MIN_CRASHES ? Math.min(MIN_REQUESTS, requests) : requests)) {
+            return certainCrashes;
+        }
+        boolean sufficesInDoubt = crashes.size() >= MIN_DOUBTFUL_CRASHES
+                && suspect.requests(crashed) >= requests;
+        return sufficesInDoubt ? crashes : List.of();
+    }
+
+    /** Returns the crashes of some runs that followed one another, in their order. */
+    private static List<Observation> sequence(List<Observation> runs) {
+        List<Observation> sequence = new ArrayList<>();
+        runs.stream()
+                .sorted((one, other) -> Long.compare(one.crash.brokeAt() - other.crash.brokeAt(), 0))
+                .forEach(next -> {
+                    if (sequence.isEmpty()
+                            || next.crash.sentAt()
+                                            - sequence.get(sequence.size() - 1)
+                                                    .crash
+                                                    .brokeAt()
+                                    > 0) {
+                        sequence.add(next);
+                    }
+                });
+        return sequence;
+    }
+
+    /** Returns whether the target of a run that broke off was up too soon to have crashed. */
+    private boolean targetLived(Observation observation) {
+        TargetHistory history = histories.get(observation.crash.target());
+        return history != null && history.livedAfter(observation.crash.brokeAt());
     }
 
-    private static int minRequests(String mark) {
-        return mark.startsWith(Prompt.CONTENT_PREFIX) ? 1 : MIN_REQUESTS;
+    /** Returns whether the target of a run that broke off has a fault of its own. */
+    private boolean targetFaulty(String mark, Observation observation) {
+        TargetHistory history = histories.get(observation.crash.target());
+        return history != null && history.faulty(mark, observation.crash.brokeAt());
     }
 
     /** Returns the number of answers that show that targets, and the link of a single holder, work without the mark. */
-    private long otherAnswers(Suspect suspect) {
-        Observation first = suspect.observations.get(0);
-        return distinct(suspect.crashes(), Crash::holder).size() == 1
+    private long otherAnswers(List<Observation> observations) {
+        Observation first = observations.get(0);
+        return distinct(crashes(observations), Crash::holder).size() == 1
                 ? answersOf(first.crash.holder()) - first.holderAnswersBefore
                 : answers - first.answersBefore;
     }
 
+    private static List<Crash> crashes(List<Observation> observations) {
+        return observations.stream().map(Observation::crash).toList();
+    }
+
     private long answersOf(String holder) {
         return answersByHolder.getOrDefault(holder, 0L);
     }
@@ -187,6 +281,7 @@
     /** Records that a crash of a target is explained by a mark that is known. */
     private void explain(String target, long brokeAt) {
         explainedAt.put(target, brokeAt);
+        history(target).explained(brokeAt);
         withdraw(target, brokeAt);
     }
 
@@ -256,13 +351,22 @@
      */
     private record Observation(Crash crash, long answersBefore, long holderAnswersBefore) {}
 
+    /**
+     * The crashes that accuse a mark.
+     *
+     * @param mark The mark.
+     * @param suspect What is known of it.
+     * @param crashes The crashes that followed one another; none if they do not suffice.
+     */
+    private record Charge(String mark, Suspect suspect, List<Observation> crashes) {}
+
     /** A mark that no answered request has held since its first crash. */
     private static final class Suspect {
 
         /** What differs between different requests that have the mark. */
         private final Function<Prompt, String> different;
 
-        /** The crashes that followed one another, in their order. */
+        /** The broken runs with the mark, in the order of the reports. */
         private final List<Observation> observations = new ArrayList<>();
 
         /** The number of broken runs with the mark. */
@@ -279,24 +383,16 @@
             runs++;
             position = Math.max(position, at);
             observations.removeIf(earlier -> added.crash.brokeAt() - earlier.crash.brokeAt() > RETENTION_NANOS);
-            boolean sequential =
-                    observations.stream().allMatch(earlier -> added.crash.sentAt() - earlier.crash.brokeAt() > 0);
-            if (sequential && observations.size() < MAX_CRASHES) {
-                observations.add(added);
+            observations.add(added);
+            if (observations.size() > MAX_CRASHES) {
+                observations.remove(0);
             }
         }
 
-        List<Crash> crashes() {
-            return observations.stream().map(Observation::crash).toList();
-        }
-
-        /** Returns whether enough crashes under different requests are recent enough to accuse the mark. */
-        boolean crashedOften(int minRequests, long now) {
-            return observations.size() >= MIN_CRASHES
-                    && now - observations.get(0).crash.brokeAt() <= RETENTION_NANOS
-                    && distinct(crashes(), crash -> different.apply(crash.prompt()))
-                                    .size()
-                            >= minRequests;
+        /** Returns the number of different requests among some runs. */
+        int requests(List<Observation> counted) {
+            return distinct(crashes(counted), crash -> different.apply(crash.prompt()))
+                    .size();
         }
     }
 }
--- a/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/CrashEvidenceTest.java
+++ b/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/CrashEvidenceTest.java
@@ -159,6 +159,56 @@
         assertThat(evidence.accusation(now).isPresent(), is(accused));
     }
 
+    /**
+     * Signs that a target did not crash, or does so under any request, and came before or after the report of the
+     * crash.
+     *
+     * @param sign What the target did.
+     * @param afterMillis The time from the crash to the sign.
+     * @param lateReport Whether the crash is reported after the sign.
+     * @param accused Whether the part is accused.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "DECLINED, 600, false, false",
+        "DECLINED, 600, true, false",
+        "FAILED, 600, false, false",
+        "FAILED, 600, true, false",
+        "BEGUN, 600, true, false",
+        "FAILED, 4000, false, false",
+        "FAILED, 4000, true, false",
+        "FAILED, -4000, false, false",
+        "BEGUN, 4000, false, false",
+        "FAILED, 100, false, true",
+        "FAILED, 11000, false, true",
+        "DECLINED, 4000, false, true"
+    })
+    void countsNoCrashOfATargetThatFailsOtherwise(Sign sign, long afterMillis, boolean lateReport, boolean accused) {
+        for (int crash = 0; crash < 2; crash++) {
+            advance(20_000);
+            crashed("t-" + crash, now - 1, new Prompt(List.of("part"), "own-" + crash));
+        }
+        advance(20_000);
+        long crashedAt = now;
+        if (!lateReport) {
+            crashedAt(crashedAt);
+        }
+        now = crashedAt + TimeUnit.MILLISECONDS.toNanos(afterMillis);
+        switch (sign) {
+            case DECLINED -> evidence.declined("t-2", now - 1, now);
+            case FAILED -> evidence.failed("t-2", List.of("first"), now - 1, now);
+            case BEGUN -> crashed("t-2", now - 1, new Prompt(List.of("second"), "own"));
+        }
+        now = Math.max(now, crashedAt);
+        if (lateReport) {
+            crashedAt(crashedAt);
+        }
+        for (int answer = 0; answer < 3; answer++) {
+            answered("other", "first");
+        }
+        assertThat(evidence.accusation(now).isPresent(), is(accused));
+    }
+
     /** If the crash that one instance saw is withdrawn, the answers to the other one count from its own first crash. */
     @ParameterizedTest
     @CsvSource({"2, false", "3, true"})
@@ -213,6 +263,18 @@
         assertThat(evidence.accusation(now), is(Optional.empty()));
     }
 
+    private void crashedAt(long brokeAt) {
+        Prompt prompt = new Prompt(List.of("part"), "own-2");
+        evidence.crashed(new Crash("r", "h", "t-2", prompt, brokeAt - 1, brokeAt), quarantined::contains);
+    }
+
+    /** What a target did. */
+    private enum Sign {
+        DECLINED,
+        FAILED,
+        BEGUN
+    }
+
     private void crashed(String target, long sentAt, Prompt prompt) {
         runs++;
         evidence.crashed(new Crash("r-" + runs, "h-" + runs % 3, target, prompt, sentAt, now), quarantined::contains);
