Accuse a part that was answered before only when its answers fail to come

Cause: the answers with a part before the first crash counted for nothing. In the recorded case 22 items with the part had been answered in 10 s, and the three resets that accused it came within 0.4 s, in which a sound part often has no answer.

Change: the rate of answers with each part is kept. With three crashes the part is accused only if five answers would have come since the first one, and with five crashes if 2.5 would have come.

--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/CrashEvidence.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/CrashEvidence.java
@@ -28,7 +28,8 @@
  *
  * <p>Targets with a fault of their own break off sound requests: they reset connections, break answers off, or go down
  * and up. A target that was up before it can have started again did not crash. One that broke off requests without the
- * mark at another moment may have crashed for a fault of its own, so that more crashes are needed. The order of the reports does not matter. Not
+ * mark at another moment may have crashed for a fault of its own, so that more crashes are needed. A part that was
+ * often answered before is accused only when the answers fail to come. The order of the reports does not matter. Not
  * thread-safe.
  */
 public final class CrashEvidence {
@@ -48,6 +49,15 @@
     /** The number of different requests that accuse a part with few crashes, or with doubtful ones. */
     private static final int MIN_REQUESTS_IN_DOUBT = 3;
 
+    /**
+     * The number of answers to requests with a part that would have come since its first crash at the rate before. With
+     * 5, the chance that none comes of a sound part is below 0.01.
+     */
+    private static final double MIN_MISSING_ANSWERS = 5;
+
+    /** The same for a part with more crashes; fewer, so that a part that begins to crash targets is found in time. */
+    private static final double MIN_MISSING_IN_DOUBT = 2.5;
+
     /**
      * The number of answers to requests without the mark since its first crash: without any, targets fail for a reason
      * that has nothing to do with the mark. If only one instance reports the crashes, the answers must be its own, as
@@ -64,6 +74,9 @@
     /** The maximum number of runs and targets that are remembered. */
     private static final int MAX_REMEMBERED = 1_024;
 
+    /** The maximum number of parts whose answers are counted. */
+    private static final int MAX_ANSWERED = 4_096;
+
     /** The age at which a crash is dropped, in nanoseconds. */
     private static final long RETENTION_NANOS = Duration.ofMinutes(10).toNanos();
 
@@ -82,6 +95,9 @@
     /** What each target has done, by identity. */
     private final Map<String, TargetHistory> histories = bounded(MAX_REMEMBERED);
 
+    /** How often requests with each part were answered. */
+    private final Map<String, AnswerRate> answered = bounded(MAX_ANSWERED);
+
     /** The time in nanoseconds of the last crash of a target that a quarantined mark explains, by identity. */
     private final Map<String, Long> explainedAt = bounded(MAX_REMEMBERED);
 
@@ -148,6 +164,11 @@
         answers++;
         answersByHolder.merge(holder, 1L, Long::sum);
         history(target).lived(now, now);
+        for (String mark : marks) {
+            if (mark.indexOf(':') < 0) {
+                answered.computeIfAbsent(mark, name -> new AnswerRate()).add(now);
+            }
+        }
         if (!suspects.isEmpty()) {
             suspects.keySet().removeAll(new HashSet<>(marks));
         }
@@ -218,11 +239,13 @@
         List<Observation> certainCrashes = sequence(certain);
         if (certainCrashes.size() >= MIN_CRASHES
                 && suspect.requests(certain)
-                        >= (certainCrashes.size() > MIN_CRASHES ? Math.min(MIN_REQUESTS, requests) : requests)) {
+                        >= (certainCrashes.size() > MIN_CRASHES ? Math.min(MIN_REQUESTS, requests) : requests)
+                && missingAnswers(mark, certainCrashes.get(0).crash.brokeAt(), now) >= MIN_MISSING_ANSWERS) {
             return certainCrashes;
         }
         boolean sufficesInDoubt = crashes.size() >= MIN_DOUBTFUL_CRASHES
-                && suspect.requests(crashed) >= requests;
+                && suspect.requests(crashed) >= requests
+                && missingAnswers(mark, crashes.get(0).crash.brokeAt(), now) >= MIN_MISSING_IN_DOUBT;
         return sufficesInDoubt ? crashes : List.of();
     }
 
@@ -256,6 +279,15 @@
         return history != null && history.faulty(mark, observation.crash.brokeAt());
     }
 
+    /**
+     * Returns the number of answers to requests with a part that would have come since a time if it were sound;
+     * infinite if requests with it were hardly answered before.
+     */
+    private double missingAnswers(String mark, long since, long now) {
+        AnswerRate rate = answered.get(mark);
+        return rate == null || !rate.frequent(since) ? Double.POSITIVE_INFINITY : rate.perNano(since) * (now - since);
+    }
+
     /** Returns the number of answers that show that targets, and the link of a single holder, work without the mark. */
     private long otherAnswers(List<Observation> observations) {
         Observation first = observations.get(0);
@@ -360,6 +392,37 @@
      */
     private record Charge(String mark, Suspect suspect, List<Observation> crashes) {}
 
+    /** How often requests with a part were answered, with less weight for earlier answers. */
+    private static final class AnswerRate {
+
+        /** The time in nanoseconds in which the weight of an answer falls to 1/e. */
+        private static final double MEAN_NANOS = Duration.ofSeconds(10).toNanos();
+
+        /** The minimum weight of the answers from which a rate is taken. */
+        private static final double MIN_WEIGHT = 2;
+
+        private double weight;
+
+        private long lastAt;
+
+        void add(long now) {
+            weight = weight(now) + 1;
+            lastAt = now;
+        }
+
+        boolean frequent(long now) {
+            return weight(now) >= MIN_WEIGHT;
+        }
+
+        double perNano(long now) {
+            return weight(now) / MEAN_NANOS;
+        }
+
+        private double weight(long now) {
+            return weight * Math.exp(-Math.max(0, now - lastAt) / MEAN_NANOS);
+        }
+    }
+
     /** A mark that no answered request has held since its first crash. */
     private static final class Suspect {
 
--- a/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/CrashEvidenceTest.java
+++ b/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/CrashEvidenceTest.java
@@ -159,6 +159,31 @@
         assertThat(evidence.accusation(now).isPresent(), is(accused));
     }
 
+    /**
+     * Three items went from one target to the next that reset them, 0.2 s apart, while no other item with their part
+     * was answered. In the 10 s before, 22 had been.
+     *
+     * @param answersBefore The number of answers with the part in the 10 s before the first reset.
+     * @param crashes The number of resets after the head of the answer, each under another item.
+     * @param accused Whether the part is accused.
+     */
+    @ParameterizedTest
+    @CsvSource({"22, 3, false", "22, 6, false", "0, 3, true", "22, 15, true"})
+    void expectsAnswersToAPartThatWasAnsweredBefore(int answersBefore, int crashes, boolean accused) {
+        for (int answer = 0; answer < answersBefore; answer++) {
+            answered("other", "part");
+            advance(450);
+        }
+        for (int crash = 0; crash < crashes; crash++) {
+            advance(200);
+            long sentAt = now;
+            advance(7);
+            crashed("t-" + crash, sentAt, new Prompt(List.of("part"), "item-" + crash));
+            answered("other", "first");
+        }
+        assertThat(evidence.accusation(now).isPresent(), is(accused));
+    }
+
     /**
      * Signs that a target did not crash, or does so under any request, and came before or after the report of the
      * crash.
