Try a part that is held back after 3 s

Cause: the first trial came 30 s after the decision, so that a sound part that was held back all the same cost hundreds of requests.

Change: a part is tried after 3 s, then 10 s, 30 s, 60 s and so on after the trial before. If it does crash targets, the first two trials are the fourth and the fifth crash, and three later ones take 210 s, as many and as long as before. The content of a request is tried after 30 s as before, as it may crash three targets and not five.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
@@ -82,7 +82,11 @@
                 accusation.isPresent();
                 accusation = evidence.accusation(now)) {
             evidence.explain(accusation.get());
-            onChange.accept(quarantine.hold(accusation.get().mark(), accusation.get().evidence(), now));
+            onChange.accept(quarantine.hold(
+                    accusation.get().mark(),
+                    accusation.get().targets(),
+                    accusation.get().evidence(),
+                    now));
         }
     }
 }
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/CrashEvidence.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/CrashEvidence.java
@@ -219,7 +219,7 @@
                 .min(Comparator.<Charge>comparingInt(charge -> charge.suspect.runs)
                         .thenComparing(charge -> -charge.suspect.position))
                 .map(charge -> new Accusation(
-                        charge.mark, crashes(charge.crashes), otherAnswers(charge.crashes)));
+                        charge.mark, crashes(charge.crashes), charge.suspect.targets(), otherAnswers(charge.crashes)));
     }
 
     /** Returns the crashes that accuse a mark; none if they do not suffice. */
@@ -353,9 +353,10 @@
      *
      * @param mark The mark.
      * @param crashes The crashes that followed one another.
+     * @param targets The number of targets that broke off requests with the mark, those that crashed together included.
      * @param otherAnswers The number of answers to requests without the mark meanwhile.
      */
-    public record Accusation(String mark, List<Crash> crashes, long otherAnswers) {
+    public record Accusation(String mark, List<Crash> crashes, int targets, long otherAnswers) {
 
         /** Describes the evidence for people. */
         public String evidence() {
@@ -452,6 +453,11 @@
             }
         }
 
+        /** Returns the number of targets that broke off runs with the mark. */
+        int targets() {
+            return distinct(crashes(observations), Crash::target).size();
+        }
+
         /** Returns the number of different requests among some runs. */
         int requests(List<Observation> counted) {
             return distinct(crashes(counted), crash -> different.apply(crash.prompt()))
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/Quarantine.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/Quarantine.java
@@ -16,8 +16,23 @@
  */
 public final class Quarantine {
 
-    /** The time until the first trial, in nanoseconds; it doubles with each further one. */
-    static final long FIRST_PERIOD_NANOS = Duration.ofSeconds(30).toNanos();
+    /**
+     * The time until the first trial of a part, in nanoseconds: a sound part is held back no longer than this and one
+     * answer take. If the part crashes targets, the first two trials are the fourth and the fifth crash.
+     */
+    static final long FIRST_PERIOD_NANOS = Duration.ofSeconds(3).toNanos();
+
+    /** The time between the first two trials, in nanoseconds, for a first one that a fault of its target ended. */
+    private static final long SECOND_PERIOD_NANOS = Duration.ofSeconds(10).toNanos();
+
+    /**
+     * The time between the second trial and the third, in nanoseconds; it doubles with each further one. It is also the
+     * time until the first trial of the content of a request, which may crash three targets and not five.
+     */
+    static final long LONG_PERIOD_NANOS = Duration.ofSeconds(30).toNanos();
+
+    /** The number of trials before the periods are long: as many crashes as a part may cause beyond the third. */
+    private static final int EARLY_TRIALS = 2;
 
     /** The maximum number of doublings. */
     private static final int MAX_DOUBLINGS = 5;
@@ -75,15 +90,20 @@
     }
 
     /**
-     * Holds a part back.
+     * Holds a part back. Of the crashes that it caused before, those beyond the third count as trials, so that the
+     * fleet suffers no more crashes when the decision is late.
      *
      * @param part The identity of the part.
+     * @param crashes The number of targets that crashed.
      * @param evidence Why, for people.
      * @param now The current monotonic time in nanoseconds.
      * @return The new record of the part.
      */
-    public QuarantineEntry hold(String part, String evidence, long now) {
-        return put(new QuarantineEntry(part, nextRevision(part), true, 0, now + FIRST_PERIOD_NANOS, now, evidence));
+    public QuarantineEntry hold(String part, int crashes, String evidence, long now) {
+        boolean content = part.startsWith(Prompt.CONTENT_PREFIX);
+        int trials = content ? 0 : Math.max(0, Math.min(crashes - CrashEvidence.MIN_CRASHES, EARLY_TRIALS));
+        long first = content ? LONG_PERIOD_NANOS : FIRST_PERIOD_NANOS;
+        return put(new QuarantineEntry(part, nextRevision(part), true, trials, now + first, now, evidence));
     }
 
     /**
@@ -106,7 +126,7 @@
                         entry.revision() + 1,
                         true,
                         entry.trials() + 1,
-                        now + (FIRST_PERIOD_NANOS << Math.min(entry.trials() + 1, MAX_DOUBLINGS)),
+                        now + periodAfter(entry.part(), entry.trials() + 1),
                         now,
                         entry.evidence())))
                 .toList();
@@ -185,6 +205,16 @@
         return expired;
     }
 
+    /** Returns the time from a trial of a mark to the next one, in nanoseconds, by the number of its trials so far. */
+    private static long periodAfter(String mark, int trials) {
+        if (mark.startsWith(Prompt.CONTENT_PREFIX)) {
+            return LONG_PERIOD_NANOS << Math.min(trials, MAX_DOUBLINGS);
+        }
+        return trials < EARLY_TRIALS
+                ? SECOND_PERIOD_NANOS
+                : LONG_PERIOD_NANOS << Math.min(trials - EARLY_TRIALS, MAX_DOUBLINGS);
+    }
+
     private long nextRevision(String part) {
         QuarantineEntry entry = entries.get(part);
         return entry == null ? 1 : entry.revision() + 1;
