--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -104,6 +104,9 @@
     /** Whether the answer that is passed on is a successful stream of events, the only one that can be resumed. */
     private boolean streaming;
 
+    /** Whether the head of a success was received in the current run. */
+    private boolean accepted;
+
     /** The number of the last event that was sent to the caller. */
     private long lastEvent;
 
@@ -243,6 +246,7 @@
         }
         attempts++;
         log.placed(id, left, now);
+        accepted = false;
         run = new OnlineRun(context, this, entry, lastEvent);
         meter = RunMeter.of(now);
         // A run that may not be repeated is worth waiting for.
@@ -256,7 +260,9 @@
     void headReceived(OnlineRun from, TargetHead answer, HttpResponse response) {
         log.headReceived(answer);
         meter.head(answer, context.time().nanos());
-        switch (Verdict.of(answer)) {
+        Verdict verdict = Verdict.of(answer);
+        accepted = verdict instanceof Verdict.Succeeded;
+        switch (verdict) {
             case Verdict.NotRun notRun -> retryNotRun("the target did not run the request", PlaceOutcome.FULL);
             case Verdict.Unproven unproven -> retryOrFail("the target did not sign its answer: " + unproven.status());
             case Verdict.Failed failed
@@ -415,7 +421,7 @@
 
     /** Returns the outcome of a run whose connection has ended too early. */
     private PlaceOutcome endedOutcome() {
-        return PlaceOutcome.ofEarlyEnd(runEvents(), route.resumable());
+        return PlaceOutcome.ofEarlyEnd(accepted, runEvents(), route.resumable());
     }
 
     /** Returns whether the route, its attempts and the deadline allow another run. */
