--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/rollout/Comparison.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/rollout/Comparison.java
@@ -24,7 +24,7 @@
 
     /**
      * The time over which the rates of both versions are compared, in nanoseconds. A fault of all targets that begins
-     * within it shows in both rates. In longer intervals, a burst of requests to the new version at the end of the interval
+     * within it shows in both rates. In longer intervals, a burst of requests to the new version at the end
      * is compared with runs of the old one from before the fault.
      */
     private static final long INTERVAL_NANOS = Duration.ofMillis(250).toNanos();
@@ -55,7 +55,9 @@
     /** By how much the expected evidence for a good version must exceed what is needed, for a test on a route. */
     private static final double OWN_TEST_MARGIN = 1.3;
 
-    /** The part of the evidence for a good verdict above which it stays good, so that one bad answer does not end it. */
+    /**
+     * The part of the evidence for a good verdict above which it stays good, so that one bad answer does not end it.
+     */
     private static final double STAYS_GOOD = 0.5;
 
     private final Map<String, RouteEvidence> routes = new LinkedHashMap<>();
@@ -148,7 +150,7 @@
         if (intervalEnd == Long.MIN_VALUE) {
             intervalEnd = now + INTERVAL_NANOS;
         }
-        if (now < intervalEnd || now < intervalEnd + MAX_EXTENSION_NANOS && openOld() < MIN_RUNS) {
+        if (now < intervalEnd || (now < intervalEnd + MAX_EXTENSION_NANOS && openOld() < MIN_RUNS)) {
             return;
         }
         double overall = overallRate();
@@ -186,12 +188,12 @@
         double roots = 0;
         long all = 0;
         for (RouteEvidence route : routes.values()) {
-            roots += Math.sqrt(route.placed);
+            roots += Math.sqrt((double) route.placed);
             all += route.placed;
         }
         for (RouteEvidence route : routes.values()) {
             double share = route.placed / (double) Math.max(1, all);
-            route.part = Math.min(MAX_OVERSAMPLING * share, Math.sqrt(route.placed) / Math.max(1, roots));
+            route.part = Math.min(MAX_OVERSAMPLING * share, Math.sqrt((double) route.placed) / Math.max(1, roots));
         }
     }
 
@@ -214,8 +216,9 @@
         advance(now);
         double overall = overallRate();
         Map<String, Double> open = new HashMap<>();
-        routes.values().forEach(route -> open(route, overall)
-                .forEach((target, value) -> open.merge(target, value, Double::sum)));
+        routes.values()
+                .forEach(route ->
+                        open(route, overall).forEach((target, value) -> open.merge(target, value, Double::sum)));
         return sum.against(open, severalTargets, 1);
     }
 
@@ -253,7 +256,8 @@
         if (against(now) >= sum.badThreshold(1) + early) {
             return Optional.of("all routes");
         }
-        long placedNew = Math.max(1, routes.values().stream().mapToLong(route -> route.placedNew).sum());
+        long placedNew = Math.max(
+                1, routes.values().stream().mapToLong(route -> route.placedNew).sum());
         return routes.entrySet().stream()
                 .filter(entry -> against(entry.getValue())
                         >= entry.getValue().test.badThreshold(routes.size())
@@ -289,7 +293,7 @@
         return expected * decrease < OWN_TEST_MARGIN * SequentialTest.THRESHOLD;
     }
 
-    /** Returns the evidence by route. */
+    /** Returns what is known of each route, in the order in which they were first seen. */
     List<RolloutEvidence.Route> routes(double progress, long now) {
         advance(now);
         String faulty = faulty();
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/rollout/LatencyWindow.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/rollout/LatencyWindow.java
@@ -14,7 +14,9 @@
 
     private static final int SLICES = 5;
 
-    /** The ratio of the bounds of a bucket: the median is known to within a tenth, far below the factor of a slow run. */
+    /**
+     * The ratio of the bounds of a bucket: the median is known to within a tenth, far below the factor of a slow run.
+     */
     private static final double RATIO = 1.1;
 
     /** The upper bound of the first bucket in nanoseconds. */
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/rollout/Rollout.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/rollout/Rollout.java
@@ -338,7 +338,7 @@
                 && now - manyBadSince >= limits.rollback().toNanos() / 2) {
             judgedManyBad = true;
             if (comparison.against(now) - comparison.earlyFailures(newInFlight) > SequentialTest.THRESHOLD / 2) {
-            condemned = "bad after " + BAD_ANSWERS + " bad answers: " + evidence(now);
+                condemned = "bad after " + BAD_ANSWERS + " bad answers: " + evidence(now);
             }
         }
     }
@@ -426,15 +426,14 @@
         if (good && places && view.stateFresh()) {
             return Optional.of(new RolloutPhase.Moving());
         }
-        if (elapsed < order.duration().toNanos() || good && places) {
+        if (elapsed < order.duration().toNanos() || (good && places)) {
             return Optional.empty();
         }
-        return Optional.of(new RolloutPhase.RolledBack(
-                (good
-                                ? "too few places at new targets by the deadline: " + view.newPlaces() + " for "
-                                        + view.placesInUse() + " in use; "
-                                : "no good verdict by the deadline: ")
-                        + evidence(now)));
+        return Optional.of(new RolloutPhase.RolledBack((good
+                        ? "too few places at new targets by the deadline: " + view.newPlaces() + " for "
+                                + view.placesInUse() + " in use; "
+                        : "no good verdict by the deadline: ")
+                + evidence(now)));
     }
 
     /**
@@ -457,7 +456,7 @@
         long left = order.duration().toNanos() - elapsed(now).toNanos();
         boolean good = left > LAST_CALL_NANOS
                 ? comparison.isGood() && !movedOnOpenEvidence
-                : comparison.against(now) <= 0 && comparison.isAtMost(0, SequentialTest.THRESHOLD / 2, now)
+                : (comparison.against(now) <= 0 && comparison.isAtMost(0, SequentialTest.THRESHOLD / 2, now))
                         || left < -OPEN_EVIDENCE_NANOS;
         return settled && empty && good ? Optional.of(new RolloutPhase.Completed()) : Optional.empty();
     }
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/rollout/SequentialTest.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/rollout/SequentialTest.java
@@ -107,7 +107,9 @@
                         .map(Map.Entry::getKey);
     }
 
-    /** Lowers the evidence for the version to little more than a good verdict needs, so that a later fault shows soon. */
+    /**
+     * Lowers the evidence for the version to little more than a good verdict needs, so that a later fault shows soon.
+     */
     void forgetExcess() {
         double against = 0;
         double favour = 0;
