--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/CrashLoad.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/CrashLoad.java
@@ -323,7 +323,7 @@
                 case PlacementDecision.Refused refused -> {
                     excluded.clear();
                     if (batch) {
-                        at(millis + Math.max(RETRY_MILLIS, refused.retryAfterMillis()), this::ask);
+                        at(millis + Math.max(RETRY_MILLIS, (double) refused.retryAfterMillis()), this::ask);
                     }
                 }
             }
