Follow and carry out orders for roll-outs

Orders stay in FleetState with the revision of their row. RolloutTable keeps the state of each order in the table rollouts: a write holds only on the version that it is based on, is one transaction with the row of the status table, and is read back if its outcome is not known. Rollouts joins orders, states and the dispatcher: every instance obeys the phase in the table, the dispatcher decides on the next one, and a roll-back takes effect before it is written. A version that appears before its order is withheld for up to 2 s.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/FleetState.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/FleetState.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -12,13 +13,17 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.tanagermoor.gateway.fleet.FleetCodec;
 import org.tanagermoor.gateway.fleet.FleetConfiguration;
+import org.tanagermoor.gateway.fleet.RolloutEntry;
 import org.tanagermoor.gateway.fleet.TargetEntry;
+import org.tanagermoor.gateway.fleet.VersionGate;
 import org.tanagermoor.gateway.follow.ChangeFeed;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.failure.Failure;
+import org.tanagermoor.policy.rollout.RolloutOrder;
 
 /** The configuration and the targets as this instance knows them from the control store. Confined to the event loop. */
 public final class FleetState {
@@ -64,14 +69,30 @@
         }
     };
 
+    /** Whether orders for roll-outs are read and versions are withheld. */
+    private final boolean rollouts;
+
+    /** The valid orders for roll-outs, by service. */
+    private final Map<String, RolloutEntry> orders = new HashMap<>();
+
+    /** The services whose row of an order is there and is invalid. */
+    private final Set<String> invalidOrders = new HashSet<>();
+
+    /** The versions that get no requests. */
+    private final VersionGate versions = VersionGate.of();
+
+    /** The identities of the targets whose version is withheld. */
+    private final Set<String> withheld = new HashSet<>();
+
     /** {@code null} before one is known. */
     @Nullable
     private FleetConfiguration configuration;
 
-    private FleetState(FleetCodec codec, EventLog events, Runnable onChange) {
+    private FleetState(FleetCodec codec, EventLog events, Runnable onChange, boolean rollouts) {
         this.codec = codec;
         this.events = events;
         this.onChange = onChange;
+        this.rollouts = rollouts;
     }
 
     /**
@@ -82,7 +103,19 @@
      * @param onChange Called after each change of the state.
      */
     public static FleetState of(FleetCodec codec, EventLog events, Runnable onChange) {
-        return new FleetState(codec, events, onChange);
+        return new FleetState(codec, events, onChange, false);
+    }
+
+    /**
+     * Returns a state without a configuration and without targets.
+     *
+     * @param codec Decodes the rows of the control store.
+     * @param events The event log.
+     * @param onChange Called after each change of the state.
+     * @param rollouts Whether orders for roll-outs are read, and versions that may be part of one are withheld.
+     */
+    public static FleetState of(FleetCodec codec, EventLog events, Runnable onChange, boolean rollouts) {
+        return new FleetState(codec, events, onChange, rollouts);
     }
 
     /** Returns the configuration; empty until one was read from the control store. */
@@ -150,12 +183,60 @@
         onChange.run();
     }
 
+    /** Returns the valid orders for roll-outs, by service. */
+    public Map<String, RolloutEntry> orders() {
+        return Collections.unmodifiableMap(orders);
+    }
+
+    /** Returns whether the row of an order for a service is there, but holds none that is valid. */
+    public boolean invalidOrder(String service) {
+        return invalidOrders.contains(service);
+    }
+
+    /** Returns the versions of the known targets of a service, including targets that must not get requests. */
+    public Set<String> versions(String service) {
+        return targets.values().stream()
+                .filter(target -> target.service().equals(service))
+                .map(TargetEntry::version)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    /** Returns the versions that targets of a service have had since the start of this instance. */
+    public Set<String> pastVersions(String service) {
+        return versions.past(service);
+    }
+
+    /**
+     * Returns whether a service has had a target for so long that another version of it may be part of a roll-out.
+     *
+     * @param service The name of the service.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    public boolean established(String service, long now) {
+        return targets.values().stream()
+                .anyMatch(target -> target.service().equals(service) && versions.established(target.id(), now));
+    }
+
+    /**
+     * Replaces the versions that get no requests because of a roll-out.
+     *
+     * @param versionsByService The versions by service.
+     */
+    public void exclude(Map<String, Set<String>> versionsByService) {
+        if (versions.exclude(versionsByService)) {
+            onChange.run();
+        }
+    }
+
     /** Returns the identities of all targets, including those that must not get requests. */
     public Set<String> targetIds() {
         return Set.copyOf(targets.keySet());
     }
 
-    /** Applies changes of the operator table, which holds the configuration and the failure domains out of service. */
+    /**
+     * Applies changes of the operator table, which holds the configuration, the failure domains out of service and the
+     * orders for roll-outs.
+     */
     public void operatorChanged(List<ChangeFeed.Change> rows) {
         for (ChangeFeed.Change row : rows) {
             byte[] value = row.value();
@@ -166,6 +247,9 @@
             } else {
                 codec.evacuatedDomain(row.key())
                         .ifPresent(domain -> setEvacuated(domain, value != null, row.version()));
+                if (rollouts) {
+                    codec.rolloutService(row.key()).ifPresent(service -> order(service, row));
+                }
             }
         }
         onChange.run();
@@ -188,17 +272,18 @@
             Either<Failure, TargetEntry> entry = codec.target(row.key(), value);
             if (entry.isRight()) {
                 expiring.remove(row.key());
-                put(entry.get(), row.version());
+                put(entry.get(), row.version(), now);
             } else {
                 events.record(GatewayEvent.ROW_UNREADABLE, "row", row.key(), "failure", entry.getLeft());
-                targets.remove(row.key());
+                remove(row.key());
             }
         }
         onChange.run();
     }
 
     /**
-     * Drops targets whose entries have not been registered again in time.
+     * Drops targets whose entries have not been registered again in time, and lets targets get requests whose version
+     * was withheld for long enough.
      *
      * @param now The current monotonic time in nanoseconds.
      */
@@ -212,15 +297,96 @@
         if (!expired.isEmpty()) {
             expired.forEach(id -> {
                 expiring.remove(id);
-                targets.remove(id);
+                remove(id);
                 events.record(GatewayEvent.TARGET_CHANGED, "target", id, "state", "gone");
             });
             onChange.run();
         }
+        if (release(now)) {
+            onChange.run();
+        }
+    }
+
+    /** Lets targets get requests whose version is no longer withheld; returns whether there are any. */
+    private boolean release(long now) {
+        return !withheld.isEmpty()
+                && withheld.removeIf(id -> {
+                    TargetEntry target = targets.get(id);
+                    return target == null
+                            || ordered(target)
+                            || !versions.withheld(target.service(), target.version(), now);
+                });
+    }
+
+    /** Returns whether an order for a roll-out to the version of a target is known. */
+    private boolean ordered(TargetEntry target) {
+        RolloutEntry entry = orders.get(target.service());
+        return entry != null && entry.order().version().equals(target.version());
     }
 
     private boolean usable(TargetEntry target) {
-        return !target.draining() && !leaving.containsKey(target.id()) && !evacuated.contains(target.domain());
+        return !target.draining()
+                && !leaving.containsKey(target.id())
+                && !evacuated.contains(target.domain())
+                && !withheld.contains(target.id())
+                && !versions.excluded(target.service(), target.version());
+    }
+
+    /** Takes an order for a roll-out, or its withdrawal; an invalid order changes nothing. */
+    private void order(String service, ChangeFeed.Change row) {
+        byte[] value = row.value();
+        invalidOrders.remove(service);
+        if (value == null) {
+            RolloutEntry withdrawn = orders.remove(service);
+            if (withdrawn != null) {
+                events.record(
+                        GatewayEvent.ROLLOUT_WITHDRAWN,
+                        "service",
+                        service,
+                        "to",
+                        withdrawn.order().version(),
+                        "revision",
+                        withdrawn.revision());
+            }
+            return;
+        }
+        Either<Failure, RolloutOrder> read = codec.rolloutOrder(service, value);
+        if (read.isLeft()) {
+            invalidOrders.add(service);
+            events.record(
+                    GatewayEvent.ROLLOUT_ORDER_INVALID,
+                    "row",
+                    row.key(),
+                    "revision",
+                    row.version(),
+                    "reason",
+                    read.getLeft().detail());
+            return;
+        }
+        RolloutEntry previous = orders.put(service, new RolloutEntry(read.get(), row.version()));
+        if (previous == null || previous.revision() != row.version()) {
+            events.record(
+                    GatewayEvent.ROLLOUT_ORDERED,
+                    "service",
+                    service,
+                    "to",
+                    read.get().version(),
+                    "duration-ms",
+                    read.get().duration().toMillis(),
+                    "revision",
+                    row.version());
+        }
+        withheld.removeIf(id -> {
+            TargetEntry target = targets.get(id);
+            return target == null || ordered(target);
+        });
+    }
+
+    /** Removes a target. */
+    private void remove(String id) {
+        targets.remove(id);
+        withheld.remove(id);
+        versions.removed(id);
     }
 
     /** Adopts a configuration unless it is unreadable or older than the one in use. */
@@ -246,7 +412,10 @@
     }
 
     /** Adds or updates a target. */
-    private void put(TargetEntry entry, long revision) {
+    private void put(TargetEntry entry, long revision, long now) {
+        if (rollouts) {
+            withhold(entry, now);
+        }
         TargetEntry previous = targets.put(entry.id(), entry);
         leaving.computeIfPresent(
                 entry.id(), (id, startedAt) -> startedAt == entry.startedAtMillis() ? startedAt : null);
@@ -264,6 +433,20 @@
         }
     }
 
+    /** Withholds a target whose version may be part of a roll-out that has not been ordered yet. */
+    private void withhold(TargetEntry entry, long now) {
+        boolean first = versions.registered(entry, targets.values(), ordered(entry), now);
+        if (!ordered(entry) && versions.withheld(entry.service(), entry.version(), now)) {
+            withheld.add(entry.id());
+        } else {
+            withheld.remove(entry.id());
+        }
+        if (first) {
+            events.record(
+                    GatewayEvent.TARGET_CHANGED, "target", entry.id(), "state", "withheld", "version", entry.version());
+        }
+    }
+
     /**
      * Handles the removal of an entry. A target that was not draining is kept for a while if the entry may have expired
      * during an outage of the control store.
@@ -277,7 +460,7 @@
             expiring.putIfAbsent(row.key(), storeReturnedAt + TARGET_RETENTION_NANOS);
             return;
         }
-        targets.remove(row.key());
+        remove(row.key());
         expiring.remove(row.key());
         events.record(GatewayEvent.TARGET_CHANGED, "target", row.key(), "state", "gone", "revision", row.version());
     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -4,9 +4,11 @@
 import io.netty.channel.EventLoopGroup;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
 import org.tanagermoor.gateway.dispatch.DispatchClient;
 import org.tanagermoor.gateway.dispatch.DispatchServer;
 import org.tanagermoor.gateway.dispatch.ShareTable;
@@ -33,12 +35,16 @@
 import org.tanagermoor.gateway.member.InstanceTable;
 import org.tanagermoor.gateway.member.Liveness;
 import org.tanagermoor.gateway.quarantine.PartQuarantine;
+import org.tanagermoor.gateway.rollout.RolloutDispatch;
+import org.tanagermoor.gateway.rollout.RolloutTable;
+import org.tanagermoor.gateway.rollout.Rollouts;
 import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.plugin.Context;
 import org.tanagermoor.kernel.setting.Address;
 import org.tanagermoor.kernel.time.TimeSource;
 import org.tanagermoor.policy.fleet.InstanceId;
 import org.tanagermoor.policy.quarantine.Quarantine;
+import org.tanagermoor.policy.rollout.RolloutLimits;
 import org.tanagermoor.store.object.ObjectStore;
 import org.tanagermoor.store.table.TableService;
 import org.tanagermoor.wire.link.PeerLink;
@@ -120,6 +126,10 @@
     /** The table in the control store through which instances find each other. */
     private final InstanceTable instances;
 
+    /** Moves the traffic of services to other versions; {@code null} if roll-outs are off. */
+    @Nullable
+    private final Rollouts rollouts;
+
     private Gateway(Context context, EventLoop loop) {
         this.loop = loop;
         events = context.events();
@@ -131,7 +141,8 @@
         String domain = self.domain();
         liveness = Liveness.of(self);
         FleetCodec codec = context.service(FleetCodec.class);
-        fleet = FleetState.of(codec, events, this::fleetChanged);
+        Optional<RolloutLimits> limits = context.service(GatewayFeatures.class).rollouts();
+        fleet = FleetState.of(codec, events, this::fleetChanged, limits.isPresent());
         ChangeFeed feed = context.service(ChangeFeed.class);
         operatorTable = follow(feed, codec.operatorTable(), () -> 0, fleet::operatorChanged);
         targetTable = follow(feed, codec.targetTable(), () -> 0, this::targetsChanged);
@@ -165,11 +176,12 @@
                         domain),
                 liveness,
                 jobs);
+        rollouts = limits.isPresent() ? rollouts(context, limits.get()) : null;
         gossip = Gossip.of(
                 loop,
                 link,
                 liveness,
-                List.of(operatorTable, targetTable),
+                relayedTables(),
                 context.settings().value(GatewayPlugin.SEEDS),
                 quarantine,
                 events,
@@ -181,6 +193,35 @@
         return new Gateway(context, loop);
     }
 
+    /** Returns the roll-outs. Call it after the fields that it reads are set. */
+    private Rollouts rollouts(Context context, RolloutLimits limits) {
+        RolloutTable table = RolloutTable.of(
+                context.service(TableService.class),
+                context.service(ChangeFeed.class),
+                context.service(FleetCodec.class),
+                loop,
+                duties,
+                events,
+                time,
+                this::rolloutsChanged);
+        return Rollouts.of(
+                fleet,
+                table,
+                RolloutDispatch.ForServer.of(dispatchServer, liveness),
+                limits,
+                () -> operatorTable.table().revision(),
+                liveness.self().id().name(),
+                events,
+                context.metrics());
+    }
+
+    /** Returns the tables of which instances give newer copies to each other. */
+    private List<TableFollower> relayedTables() {
+        return rollouts == null
+                ? List.of(operatorTable, targetTable)
+                : List.of(operatorTable, targetTable, rollouts.follower());
+    }
+
     /** Returns the context of the jobs. Call it after the fields that it reads are set. */
     private JobContext jobContext(Context context, TableService tables, GatewayMetrics metrics, String domain) {
         return new JobContext(
@@ -223,6 +264,9 @@
         operatorTable.start();
         targetTable.start();
         jobTable.start();
+        if (rollouts != null) {
+            rollouts.start();
+        }
         instances.start();
         gossip.start(duties);
         duties.every("checks", TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, this::tick);
@@ -254,6 +298,9 @@
         operatorTable.stop();
         targetTable.stop();
         jobTable.stop();
+        if (rollouts != null) {
+            rollouts.stop();
+        }
         edge.close();
     }
 
@@ -270,6 +317,11 @@
         return quarantine;
     }
 
+    /** Describes the roll-outs for operators; empty if there are none. Call it on the event loop. */
+    String rolloutsText() {
+        return rollouts == null ? "" : rollouts.text(time.nanos());
+    }
+
     /**
      * Returns whether no request is accepted any more, all have been answered, and the jobs are handed over. Safe for
      * use by any thread.
@@ -296,6 +348,18 @@
                 () -> quarantine.tick(
                         liveness.dispatcher(now).id().equals(liveness.self().id()), now));
         duties.run("jobs", () -> jobs.tick(now));
+        duties.run("rollouts", () -> {
+            if (rollouts != null) {
+                rollouts.tick(now);
+            }
+        });
+    }
+
+    /** Obeys changed states of roll-outs. */
+    private void rolloutsChanged() {
+        if (rollouts != null) {
+            rollouts.changed(time.nanos());
+        }
     }
 
     private void targetsChanged(List<ChangeFeed.Change> rows) {
@@ -306,6 +370,8 @@
     /** Passes a change of the configuration or the targets on to the components that depend on it. */
     private void fleetChanged() {
         long now = time.nanos();
+        // The dispatcher must know of a roll-out before it knows of the targets of the new version.
+        rolloutsChanged();
         dispatchServer
                 .dispatcher()
                 .targets(
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
@@ -120,8 +120,29 @@
     /** Shares of the rates were lent to this instance, or are lent to another one, or count as lost. */
     RATE_SHARE_CHANGED(2238, Level.INFO, "this instance admits another part of the rates"),
 
+    /** The operator has ordered that the traffic of a service move to another version. */
+    ROLLOUT_ORDERED(2239, Level.INFO, "a roll-out was ordered"),
+
+    /** The row of an order does not say what is to be done; it changes nothing. */
+    ROLLOUT_ORDER_INVALID(2240, Level.WARNING, "an order for a roll-out is invalid and is ignored"),
+
+    /** The operator has removed the row of an order; a roll-out that runs is rolled back. */
+    ROLLOUT_WITHDRAWN(2241, Level.INFO, "the order for a roll-out was withdrawn"),
+
+    /** A roll-out is in another phase, as decided by this instance or another one. */
+    ROLLOUT_PHASE_CHANGED(2242, Level.INFO, "a roll-out changed its phase"),
+
+    /** The evidence with which this instance, as the dispatcher, decided on the next phase of a roll-out. */
+    ROLLOUT_DECIDED(2243, Level.INFO, "the evidence on a new version led to a decision"),
+
+    /** A roll-out cannot proceed for the reason that is given. */
+    ROLLOUT_WAITING(2244, Level.INFO, "a roll-out waits"),
+
     /** No duty was done for long because the virtual machine lacks memory; the process ends, and others take over. */
-    DUTIES_EXHAUSTED(2245, Level.ERROR, "this instance ends because it cannot do its duties");
+    DUTIES_EXHAUSTED(2245, Level.ERROR, "this instance ends because it cannot do its duties"),
+
+    /** A roll-out has ended, completed or rolled back; its phase does not change any more. */
+    ROLLOUT_ENDED(2246, Level.INFO, "a roll-out ended");
 
     private final Entry entry;
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayPlugin.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayPlugin.java
@@ -140,7 +140,12 @@
         Gateway started = Gateway.of(context, chosen);
         gateway = started;
         metrics = MetricsListener.of(
-                group, context.settings().value(METRICS_ADDRESS), context.metrics(), chosen, started.quarantine());
+                group,
+                context.settings().value(METRICS_ADDRESS),
+                context.metrics(),
+                chosen,
+                started.quarantine(),
+                started::rolloutsText);
         started.start(
                 group,
                 List.of(
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/MetricsListener.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/MetricsListener.java
@@ -23,14 +23,15 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.tanagermoor.gateway.quarantine.PartQuarantine;
 import org.tanagermoor.kernel.setting.Address;
 import org.tanagermoor.policy.quarantine.QuarantineEntry;
 
 /**
- * Serves operators over HTTP: the metrics of the process, in the text format of Prometheus, and the parts of prompts
- * that are held back, one per line; {@code DELETE} on a part releases it.
+ * Serves operators over HTTP: the metrics of the process, in the text format of Prometheus; the parts of prompts that
+ * are held back, one per line, where {@code DELETE} on a part releases it; and the roll-outs with their evidence.
  */
 final class MetricsListener {
 
@@ -41,10 +42,17 @@
 
     private static final String QUARANTINE_PATH = "/quarantine";
 
+    private static final String ROLLOUTS_PATH = "/rollouts";
+
     private final Channel channel;
 
     private MetricsListener(
-            EventLoopGroup group, Address address, MetricRegistry registry, EventLoop loop, PartQuarantine quarantine) {
+            EventLoopGroup group,
+            Address address,
+            MetricRegistry registry,
+            EventLoop loop,
+            PartQuarantine quarantine,
+            Supplier<String> rollouts) {
         channel = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -58,7 +66,7 @@
                                 .addLast(
                                         new HttpServerCodec(),
                                         new HttpObjectAggregator(MAX_BODY_BYTES),
-                                        new Handler(registry, loop, quarantine));
+                                        new Handler(registry, loop, quarantine, rollouts));
                     }
                 })
                 .bind(address.toSocketAddress())
@@ -72,12 +80,18 @@
      * @param group The event loops of the connections.
      * @param address The address.
      * @param registry The metrics.
-     * @param loop The event loop to which the quarantine is confined.
+     * @param loop The event loop to which the quarantine and the roll-outs are confined.
      * @param quarantine The parts of prompts that are held back.
+     * @param rollouts Describes the roll-outs.
      */
     static MetricsListener of(
-            EventLoopGroup group, Address address, MetricRegistry registry, EventLoop loop, PartQuarantine quarantine) {
-        return new MetricsListener(group, address, registry, loop, quarantine);
+            EventLoopGroup group,
+            Address address,
+            MetricRegistry registry,
+            EventLoop loop,
+            PartQuarantine quarantine,
+            Supplier<String> rollouts) {
+        return new MetricsListener(group, address, registry, loop, quarantine, rollouts);
     }
 
     /** Returns the port on which it listens, which the system chooses for an address with port 0. */
@@ -99,10 +113,13 @@
 
         private final PartQuarantine quarantine;
 
-        Handler(MetricRegistry registry, EventLoop loop, PartQuarantine quarantine) {
+        private final Supplier<String> rollouts;
+
+        Handler(MetricRegistry registry, EventLoop loop, PartQuarantine quarantine, Supplier<String> rollouts) {
             this.registry = registry;
             this.loop = loop;
             this.quarantine = quarantine;
+            this.rollouts = rollouts;
         }
 
         /** {@inheritDoc} */
@@ -114,6 +131,8 @@
                 answer(context, HttpResponseStatus.OK, MetricsText.of(registry));
             } else if (path.equals(QUARANTINE_PATH)) {
                 loop.execute(() -> answer(context, HttpResponseStatus.OK, list(quarantine.held())));
+            } else if (path.equals(ROLLOUTS_PATH)) {
+                loop.execute(() -> answer(context, HttpResponseStatus.OK, rollouts.get()));
             } else if (path.startsWith(QUARANTINE_PATH + "/") && method.equals(HttpMethod.DELETE)) {
                 String part = QueryStringDecoder.decodeComponent(path.substring(QUARANTINE_PATH.length() + 1));
                 loop.execute(() -> answer(
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/MetricsText.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/MetricsText.java
@@ -18,17 +18,24 @@
     private MetricsText() {}
 
     /**
-     * Writes the metrics of a registry, with latencies in seconds.
+     * Writes the metrics of a registry, with latencies in seconds. The name of a counter may end with labels in braces.
      *
      * @param registry The registry.
      * @return One line for each type and each value, in the text format of Prometheus.
      */
     public static String of(MetricRegistry registry) {
         StringBuilder text = new StringBuilder();
+        String previous = "";
         for (Map.Entry<String, Counter> counter : registry.getCounters().entrySet()) {
-            String name = name(counter.getKey()) + "_total";
-            text.append("# TYPE ").append(name).append(" counter\n");
-            line(text, name, (double) counter.getValue().getCount());
+            int labels = labelsIndex(counter.getKey());
+            String name = name(counter.getKey().substring(0, labels)) + "_total";
+            // The format allows one type line for all counters of a name that differ by their labels.
+            if (!name.equals(previous)) {
+                text.append("# TYPE ").append(name).append(" counter\n");
+            }
+            previous = name;
+            line(text, name + counter.getKey().substring(labels), (double)
+                    counter.getValue().getCount());
         }
         for (Map.Entry<String, Timer> timer : registry.getTimers().entrySet()) {
             String name = name(timer.getKey()) + "_seconds";
@@ -42,6 +49,12 @@
         return text.toString();
     }
 
+    /** Returns the index at which the labels of a counter begin, or the length of its name if it has none. */
+    private static int labelsIndex(String name) {
+        int index = name.indexOf('{');
+        return index < 0 ? name.length() : index;
+    }
+
     private static void line(StringBuilder text, String name, double value) {
         text.append(name).append(' ').append(value).append('\n');
     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/fleet/TargetEntry.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/fleet/TargetEntry.java
@@ -14,6 +14,7 @@
  * @param warmupLeftMillis The remaining warm-up time, in milliseconds, as of its registration.
  * @param startedAtMillis The time of day of its start in milliseconds, which distinguishes incarnations with the same
  *     id.
+ * @param version The version of the program or model that it runs; empty if its row has none.
  */
 public record TargetEntry(
         String id,
@@ -23,4 +24,25 @@
         int capacity,
         boolean draining,
         long warmupLeftMillis,
-        long startedAtMillis) {}
+        long startedAtMillis,
+        String version) {
+
+    /** Creates the entry of a target without a version. */
+    public TargetEntry(
+            String id,
+            String service,
+            Address address,
+            String domain,
+            int capacity,
+            boolean draining,
+            long warmupLeftMillis,
+            long startedAtMillis) {
+        this(id, service, address, domain, capacity, draining, warmupLeftMillis, startedAtMillis, "");
+    }
+
+    /** Returns the same entry of a target that runs the given version. */
+    public TargetEntry withVersion(String value) {
+        return new TargetEntry(
+                id, service, address, domain, capacity, draining, warmupLeftMillis, startedAtMillis, value);
+    }
+}
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Liveness.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Liveness.java
@@ -320,6 +320,21 @@
                 .toList();
     }
 
+    /**
+     * Returns whether another known instance is silent that was last known to run within a time, so that it may still
+     * act on what it last knew.
+     *
+     * @param maxAgeNanos The time in nanoseconds.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    public boolean silentWithin(long maxAgeNanos, long now) {
+        Map<String, State> newest = newest();
+        return others.values().stream()
+                .anyMatch(state -> now - state.lastSeenAt > SILENCE_NANOS
+                        && now - state.lastSeenAt < maxAgeNanos
+                        && !replaced(state, newest));
+    }
+
     /**
      * Returns the dispatcher. Instances with a weak processor rank last, since each request depends on the dispatcher,
      * and those that started later rank behind earlier ones: a process is slow at first, and a restart must not cause a
