--- a/tanagermoor-cli/src/main/java/org/tanagermoor/cli/Tool.java
+++ b/tanagermoor-cli/src/main/java/org/tanagermoor/cli/Tool.java
@@ -15,6 +15,7 @@
 import org.tanagermoor.cli.command.FleetCommands;
 import org.tanagermoor.cli.command.KeyCommands;
 import org.tanagermoor.cli.command.PresetCommands;
+import org.tanagermoor.cli.command.RolloutsCommand;
 import org.tanagermoor.cli.command.ServiceCommands;
 import org.tanagermoor.cli.command.StatusCommand;
 import org.tanagermoor.cli.command.TargetCommands;
@@ -80,6 +81,7 @@
                 .withCommand(TimelineCommand.class)
                 .withCommand(ExplainCommand.class)
                 .withCommand(ApplyCommand.class)
+                .withCommand(RolloutsCommand.class)
                 .withCommand(FleetCommands.Configuration.class)
                 .withCommand(FleetCommands.Change.class)
                 .withCommand(FleetCommands.Metrics.class)
--- a/tanagermoor-cli/src/main/java/org/tanagermoor/cli/client/ToolClient.java
+++ b/tanagermoor-cli/src/main/java/org/tanagermoor/cli/client/ToolClient.java
@@ -56,6 +56,11 @@
         return new ToolClient(List.copyOf(instances), key, timeout);
     }
 
+    /** Returns the instances, in the order in which they are tried. */
+    public List<Address> instances() {
+        return instances;
+    }
+
     /** Returns a copy of this client that calls only one instance. */
     public ToolClient withInstance(Address instance) {
         return new ToolClient(List.of(instance), key, timeout);
