--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Liveness.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/member/Liveness.java
@@ -321,17 +321,17 @@
     }
 
     /**
-     * Returns whether another known instance is silent that was last known to run within a time, so that it may still
-     * act on what it last knew.
+     * Returns whether another known instance is silent, but not for as long as the given time.
      *
-     * @param maxAgeNanos The time in nanoseconds.
+     * @param nanos The time in nanoseconds.
      * @param now The current monotonic time in nanoseconds.
+     * @return Whether there is such an instance, which may still run.
      */
-    public boolean silentWithin(long maxAgeNanos, long now) {
+    public boolean silentWithin(long nanos, long now) {
         Map<String, State> newest = newest();
         return others.values().stream()
                 .anyMatch(state -> now - state.lastSeenAt > SILENCE_NANOS
-                        && now - state.lastSeenAt < maxAgeNanos
+                        && now - state.lastSeenAt < nanos
                         && !replaced(state, newest));
     }
 
