Connect roll-outs to the dispatcher

Rollouts passes its orders, also ended ones, and the versions that completed ones have replaced to the dispatcher, and decides on the view of the service that the dispatch server gives.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/rollout/RolloutDispatch.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/rollout/RolloutDispatch.java
@@ -1,20 +1,22 @@
 package org.tanagermoor.gateway.rollout;
 
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
+import java.util.Set;
 import org.tanagermoor.gateway.dispatch.DispatchServer;
 import org.tanagermoor.gateway.member.Liveness;
 import org.tanagermoor.policy.rollout.Rollout;
+import org.tanagermoor.policy.rollout.RolloutView;
 
 /** What roll-outs need of the dispatcher of this instance. */
 public interface RolloutDispatch {
 
     /**
-     * Replaces the running roll-outs, which the dispatcher looks up while it places requests.
+     * Replaces the roll-outs, which the dispatcher looks up while it places requests.
      *
-     * @param running The roll-outs by service.
+     * @param rollouts The roll-outs by service, including ended ones whose rules still hold.
+     * @param replaced The versions that completed roll-outs have replaced, by service.
      */
-    void rollouts(Map<String, Rollout> running);
+    void rollouts(Map<String, Rollout> rollouts, Map<String, Set<String>> replaced);
 
     /** Returns whether this instance dispatches now. */
     boolean dispatching(long now);
@@ -23,38 +25,17 @@
     String dispatcher(long now);
 
     /**
-     * Returns whether all uses of places are known here: each running instance has reported its places to this
-     * dispatcher, and no other known instance has been heard in the last 6 s.
-     */
-    boolean allReported(long now);
-
-    /**
-     * Returns how the places of a service are used.
+     * Returns what the dispatcher sees of a service in a roll-out.
      *
      * @param service The name of the service.
-     * @param version The version to which its traffic moves.
+     * @param stateFresh Whether the row of the state was read or written recently.
      * @param now The current monotonic time in nanoseconds.
      */
-    Usage usage(String service, String version, long now);
-
-    /**
-     * How the places of a service are used.
-     *
-     * @param newPlaces The number of places at usable targets of the new version.
-     * @param placesInUse The maximum number of places of the service that were in use at once in the last 5 s.
-     * @param oldPlacesInUse The number of places in use at targets of other versions.
-     */
-    record Usage(int newPlaces, int placesInUse, int oldPlacesInUse) {}
+    RolloutView view(String service, boolean stateFresh, long now);
 
     /** The dispatcher of this instance, with the instances as their heartbeats tell them. */
     final class ForServer implements RolloutDispatch {
 
-        /**
-         * The silence after which an instance is no longer waited for, in nanoseconds: it has then been dropped from
-         * the directory, and a frozen one has lost its connections.
-         */
-        private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(6);
-
         private final DispatchServer server;
 
         private final Liveness liveness;
@@ -71,7 +52,10 @@
 
         /** {@inheritDoc} */
         @Override
-        public void rollouts(Map<String, Rollout> running) {}
+        public void rollouts(Map<String, Rollout> rollouts, Map<String, Set<String>> replaced) {
+            server.dispatcher().rollouts(rollouts);
+            server.dispatcher().replacedVersions(replaced);
+        }
 
         /** {@inheritDoc} */
         @Override
@@ -88,17 +72,8 @@
 
         /** {@inheritDoc} */
         @Override
-        public boolean allReported(long now) {
-            return !liveness.silentWithin(SILENT_NANOS, now)
-                    && liveness.running(now).stream()
-                            .allMatch(instance -> server.dispatcher()
-                                    .hasReported(instance.id().toString()));
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public Usage usage(String service, String version, long now) {
-            return new Usage(0, 0, Integer.MAX_VALUE);
+        public RolloutView view(String service, boolean stateFresh, long now) {
+            return server.rolloutView(service, stateFresh, now);
         }
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/rollout/Rollouts.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/rollout/Rollouts.java
@@ -241,11 +241,8 @@
             write(run, run.phase(), now);
             return;
         }
-        RolloutDispatch.Usage usage =
-                dispatch.usage(run.order().service(), run.order().version(), now);
         boolean fresh = known.isPresent() && table.answeredWithin(FRESH_NANOS, now);
-        RolloutView view = new RolloutView(
-                usage.newPlaces(), usage.placesInUse(), usage.oldPlacesInUse(), dispatch.allReported(now), fresh);
+        RolloutView view = dispatch.view(run.order().service(), fresh, now);
         Optional<RolloutPhase> next = decision.next(run.rollout(), view, now);
         if (!deciding) {
             return;
@@ -258,7 +255,7 @@
         if (withdrawn(run)) {
             next = Optional.of(new RolloutPhase.RolledBack("the order was withdrawn"));
         }
-        if (next.isEmpty() && evidence.newRequests() == 0 && usage.oldPlacesInUse() == 0 && nothingToMove(run, now)) {
+        if (next.isEmpty() && evidence.newRequests() == 0 && view.oldPlacesInUse() == 0 && nothingToMove(run, now)) {
             next = Optional.of(new RolloutPhase.Completed());
         }
         if (next.isPresent()) {
@@ -373,13 +370,15 @@
         }
     }
 
-    /** Passes the running roll-outs on to the dispatcher, and the excluded versions on to the targets. */
+    /** Passes the roll-outs on to the dispatcher, and the excluded versions on to the targets. */
     private void publish() {
-        Map<String, Rollout> running = new HashMap<>();
+        Map<String, Rollout> rollouts = new HashMap<>();
+        Map<String, Set<String>> replaced = new HashMap<>();
         Map<String, Set<String>> excluded = new HashMap<>();
         runs.forEach((service, run) -> {
-            if (!run.ended()) {
-                running.put(service, run.rollout());
+            rollouts.put(service, run.rollout());
+            if (run.phase() instanceof RolloutPhase.Completed) {
+                replaced.put(service, carried(run));
             }
             Set<String> versions = new HashSet<>(carried(run));
             if (run.phase() instanceof RolloutPhase.RolledBack) {
@@ -391,7 +390,7 @@
                 excluded.put(service, Set.copyOf(versions));
             }
         });
-        dispatch.rollouts(Map.copyOf(running));
+        dispatch.rollouts(Map.copyOf(rollouts), Map.copyOf(replaced));
         fleet.exclude(excluded);
     }
 
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/rollout/RolloutsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/rollout/RolloutsTest.java
@@ -27,6 +27,7 @@
 import org.tanagermoor.gateway.GatewayEvent;
 import org.tanagermoor.policy.rollout.Rollout;
 import org.tanagermoor.policy.rollout.RolloutPhase;
+import org.tanagermoor.policy.rollout.RolloutView;
 
 /** Several instances that carry out orders over one store, on a simulated clock and with scripted decisions. */
 final class RolloutsTest {
@@ -388,7 +389,7 @@
     /** An order without targets of its version is taken and waits for them. */
     @Test
     void waitsForTargets() {
-        first().usage(new RolloutDispatch.Usage(0, 2, 3));
+        first().places(new RolloutView(0, 2, 3, true, true));
         store.put("op", "rollout/" + SERVICE, "v2 20");
         ticks(SETTLE_TICKS);
         assertThat(status(), is("running v2"));
@@ -401,7 +402,7 @@
     /** An order to the only version that there is must not end in a roll-back that leaves no target. */
     @Test
     void completesAnOrderToTheVersionInUse() {
-        first().usage(new RolloutDispatch.Usage(4, 2, 0));
+        first().places(new RolloutView(4, 2, 0, true, true));
         store.put("op", "rollout/" + SERVICE, "v1 20");
         ticks(2 * SETTLE_TICKS);
         assertThat(status(), is("completed v1"));
@@ -412,8 +413,7 @@
     @Test
     void passesTheUseOfPlacesOn() {
         order("v2 20");
-        first().usage(new RolloutDispatch.Usage(7, 5, 1));
-        first().allReported(false);
+        first().places(new RolloutView(7, 5, 1, false, true));
         ticks(SETTLE_TICKS);
         assertThat(first().lastView().newPlaces(), is(7));
         assertThat(first().lastView().placesInUse(), is(5));
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/rollout/SimulatedInstance.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/rollout/SimulatedInstance.java
@@ -68,9 +68,7 @@
 
     private boolean dispatching;
 
-    private boolean allReported = true;
-
-    private RolloutDispatch.Usage usage = new RolloutDispatch.Usage(4, 2, 3);
+    private RolloutView places = new RolloutView(4, 2, 3, true, true);
 
     SimulatedInstance(String name, SimulatedStore simulated, LongSupplier clock) {
         this.clock = clock;
@@ -143,12 +141,8 @@
         next = Optional.ofNullable(phase);
     }
 
-    void usage(RolloutDispatch.Usage value) {
-        usage = value;
-    }
-
-    void allReported(boolean value) {
-        allReported = value;
+    void places(RolloutView value) {
+        places = value;
     }
 
     SimulatedStore.Connection store() {
@@ -159,7 +153,7 @@
         return views.get(views.size() - 1);
     }
 
-    /** Returns the phase that the dispatcher obeys; empty if it knows of no running roll-out. */
+    /** Returns the phase that the dispatcher obeys; empty if it knows of no roll-out. */
     Optional<RolloutPhase> obeyed(String service) {
         return Optional.ofNullable(running.get(service)).map(Rollout::phase);
     }
@@ -186,7 +180,7 @@
 
         /** {@inheritDoc} */
         @Override
-        public void rollouts(Map<String, Rollout> value) {
+        public void rollouts(Map<String, Rollout> value, Map<String, Set<String>> replaced) {
             running = value;
         }
 
@@ -204,14 +198,13 @@
 
         /** {@inheritDoc} */
         @Override
-        public boolean allReported(long now) {
-            return allReported;
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public Usage usage(String service, String version, long now) {
-            return usage;
+        public RolloutView view(String service, boolean stateFresh, long now) {
+            return new RolloutView(
+                    places.newPlaces(),
+                    places.placesInUse(),
+                    places.oldPlacesInUse(),
+                    places.allReported(),
+                    stateFresh);
         }
     }
 
