--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.policy.prompt.Prompt;
@@ -269,7 +270,7 @@
         permits.forEach(permit -> reported.add(permit.permit()));
         for (Grant place : List.copyOf(known.values())) {
             if (!reported.contains(place.permit) && now - place.grantedAt > RESYNC_NANOS) {
-                queue(place.service).rollout().lost(place);
+                queue(place.service).rollout().lost(place, now);
                 release(holder, place.permit, PlaceOutcome.UNUSED, now);
             }
         }
@@ -309,7 +310,7 @@
         }
         permits.values().forEach(place -> {
             recalled.remove(place);
-            queue(place.service).rollout().lost(place);
+            queue(place.service).rollout().lost(place, now);
             TargetPlaces target = queue(place.service).places().get(place.target);
             if (target != null) {
                 target.release(place.batch, PlaceOutcome.UNUSED, now);
@@ -368,7 +369,7 @@
 
     /** Grants a place to a new ask, or queues or refuses it. */
     private Optional<PlacementDecision> place(ServiceQueue queue, Ask ask, long now) {
-        if (!queue.hasTargets() && !ask.batch()) {
+        if (!queue.hasTargets(now) && !ask.batch()) {
             return refused(PlacementDecision.Reason.NO_TARGET, NO_TARGET_RETRY_MILLIS);
         }
         boolean noneAhead = ask.batch()
@@ -473,12 +474,13 @@
 
     /** Recalls the item of a job for whose caller the loss is smallest. */
     private void recallOne(ServiceQueue queue, long now) {
+        Predicate<Grant> excluded = queue.rollout().excluded(now);
         Grant best = null;
         for (Map<Long, Grant> permits : occupied.values()) {
             for (Grant place : permits.values()) {
                 if (place.batch
                         && queue.places().containsKey(place.target)
-                        && !queue.rollout().excludes(place)
+                        && !excluded.test(place)
                         && !recalled.contains(place)
                         && (best == null || place.cheaperToRecall(best, queue.headroom(), now))) {
                     best = place;
@@ -494,8 +496,9 @@
     /** Recalls the items of jobs at targets that get no requests any more because of a roll-out. */
     private void recallExcluded(String service, ServiceQueue queue, long now) {
         if (queue.rollout().recallDue(now)) {
+            Predicate<Grant> excluded = queue.rollout().excluded(now);
             for (Grant place : grants(service)) {
-                if (place.batch && queue.rollout().excludes(place)) {
+                if (place.batch && excluded.test(place)) {
                     recalled.add(place);
                     sink.recall(place.holder, place.permit);
                 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/RolloutPlacement.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/RolloutPlacement.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.tanagermoor.policy.rollout.Rollout;
 import org.tanagermoor.policy.rollout.RolloutPhase;
@@ -95,26 +96,48 @@
         return rollout != null && !rollout.phase().isFinal();
     }
 
-    /** Returns whether a target may get any request, and not only those that are offered to the new version. */
-    boolean permits(TargetPlaces target) {
-        return permits(target.entry().version());
+    /**
+     * Returns which targets may get any request, and not only those that are offered to the new version.
+     *
+     * @param now The current monotonic time in nanoseconds.
+     * @return A condition, valid for one decision.
+     */
+    Predicate<TargetPlaces> permitted(long now) {
+        if (rollout == null && formerVersions.isEmpty()) {
+            return target -> true;
+        }
+        Predicate<String> versions = permittedVersions(now);
+        return target -> versions.test(target.entry().version());
     }
 
-    /** Returns whether a target may get any request, or at least those that are offered to the new version. */
-    boolean mayServe(TargetPlaces target) {
-        return permits(target) || (rollout != null && rollout.phase() instanceof RolloutPhase.Canary);
+    /** Returns which targets may get requests, including those that only some requests are offered to. */
+    Predicate<TargetPlaces> serving(long now) {
+        return phase(now) instanceof RolloutPhase.Canary ? target -> true : permitted(now);
     }
 
-    private boolean permits(String version) {
+    private Predicate<String> permittedVersions(long now) {
+        return switch (phase(now)) {
+            case null -> version -> !formerVersions.contains(version);
+            case RolloutPhase.Canary canary -> version -> !isNew(version);
+            case RolloutPhase.Moving moving -> this::isNew;
+            case RolloutPhase.Completed completed -> version -> !replaced().contains(version);
+            case RolloutPhase.RolledBack rolledBack -> version -> !isNew(version);
+        };
+    }
+
+    /**
+     * Returns the phase whose rules apply; {@code null} without a roll-out. During the move, the version gets no more
+     * requests from the moment of a bad verdict, before the phase that follows is recorded.
+     */
+    @Nullable
+    private RolloutPhase phase(long now) {
         if (rollout == null) {
-            return formerVersions.isEmpty() || !formerVersions.contains(version);
+            return null;
         }
-        return switch (rollout.phase()) {
-            case RolloutPhase.Canary canary -> !isNew(version);
-            case RolloutPhase.Moving moving -> isNew(version);
-            case RolloutPhase.Completed completed -> !replaced().contains(version);
-            case RolloutPhase.RolledBack rolledBack -> !isNew(version);
-        };
+        RolloutPhase phase = rollout.phase();
+        return phase instanceof RolloutPhase.Moving && !rollout.offerNew("", now)
+                ? new RolloutPhase.RolledBack("the verdict is bad")
+                : phase;
     }
 
     /**
@@ -168,9 +191,13 @@
      * Records that a place was freed although it is unknown how its use ended. Whether its request ran is unknown, so
      * one at the new version still counts against the share, and one at an old version no longer adds to it.
      */
-    void lost(Grant grant) {
-        if (rollout != null && grant.countedBy == rollout && !isNew(grant)) {
-            rollout.notRun(false);
+    void lost(Grant grant, long now) {
+        if (rollout != null && grant.countedBy == rollout) {
+            if (isNew(grant)) {
+                rollout.ended(new RunReport(grant.route, true, grant.target, false, 0, 0), now);
+            } else {
+                rollout.notRun(false);
+            }
         }
         grant.countedBy = null;
     }
@@ -191,7 +218,7 @@
             if (grant.countedBy == rollout) {
                 rollout.notRun(isNew(grant));
             }
-        } else if (outcome != PlaceOutcome.UNUSED || answer.firstEventNanos() > 0) {
+        } else {
             rollout.ended(
                     new RunReport(
                             grant.route,
@@ -234,11 +261,20 @@
         return true;
     }
 
-    /** Returns whether a place is at a target that gets no requests any more. */
-    boolean excludes(Grant grant) {
-        return version(grant)
-                .map(version -> !permits(version))
-                .orElse(rollout != null && rollout.phase() instanceof RolloutPhase.Moving);
+    /**
+     * Returns which places are at targets that do not get any request. In a move, a place at an unknown target is one
+     * of them, since it counts as old.
+     *
+     * @param now The current monotonic time in nanoseconds.
+     * @return A condition, valid for one decision.
+     */
+    Predicate<Grant> excluded(long now) {
+        if (rollout == null && formerVersions.isEmpty()) {
+            return grant -> false;
+        }
+        Predicate<String> versions = permittedVersions(now);
+        boolean moving = phase(now) instanceof RolloutPhase.Moving;
+        return grant -> version(grant).map(version -> !versions.test(version)).orElse(moving);
     }
 
     /**
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -114,30 +114,32 @@
      */
     double expectedWait(long now) {
         long before = online.stream().filter(waiting -> waiting.onTime(now)).count();
-        long position = before + 1 - batchPlaces();
+        long position = before + 1 - batchPlaces(now);
         return position <= 0 ? RECALL_NANOS : position * occupancyNanos / (usablePlaces(now) + 1);
     }
 
     /** Returns the total number of places of usable targets for any request, free or in use. */
     int usablePlaces(long now) {
         return places.values().stream()
-                .filter(rollout::permits)
+                .filter(rollout.permitted(now))
                 .filter(place -> place.usable(now))
                 .mapToInt(place -> place.entry().capacity())
                 .sum();
     }
 
     /** Returns the number of places in use by items of jobs at targets for any request. */
-    int batchPlaces() {
+    int batchPlaces(long now) {
         return places.values().stream()
-                .filter(rollout::permits)
+                .filter(rollout.permitted(now))
                 .mapToInt(TargetPlaces::batch)
                 .sum();
     }
 
     /** Returns whether any target of the service may get requests and is not draining. */
-    boolean hasTargets() {
-        return places.values().stream().anyMatch(place -> !place.entry().draining() && rollout.mayServe(place));
+    boolean hasTargets(long now) {
+        return places.values().stream()
+                .filter(rollout.serving(now))
+                .anyMatch(place -> !place.entry().draining());
     }
 
     /**
@@ -154,10 +156,10 @@
             return Optional.empty();
         }
         Set<String> offered = rollout.offered(ask, now);
-        return offered.isEmpty()
-                ? choose(ask, rollout::permits, now)
-                : choose(ask, place -> offered.contains(place.entry().id()), now)
-                        .or(() -> choose(ask, rollout::permits, now));
+        Optional<TargetPlaces> place = offered.isEmpty()
+                ? Optional.empty()
+                : choose(ask, target -> offered.contains(target.entry().id()), now);
+        return place.isPresent() ? place : choose(ask, rollout.permitted(now), now);
     }
 
     /** Chooses among the targets that a condition permits. */
@@ -211,7 +213,8 @@
         rollout.observe(now);
         int usablePlaces = usablePlaces(now) - reserve(now);
         int online = places.values().stream()
-                .filter(place -> place.usable(now) && rollout.permits(place))
+                .filter(rollout.permitted(now))
+                .filter(place -> place.usable(now))
                 .mapToInt(TargetPlaces::online)
                 .sum();
         estimator.observe(usablePlaces <= 0 ? 0 : Math.max(0, usablePlaces - online) / (double) usablePlaces, now);
@@ -284,7 +287,8 @@
     /** Returns the total number of free places of usable targets for any request. */
     private int free(long now) {
         return places.values().stream()
-                .filter(place -> place.usable(now) && rollout.permits(place))
+                .filter(rollout.permitted(now))
+                .filter(place -> place.usable(now))
                 .mapToInt(place -> Math.max(0, place.free()))
                 .sum();
     }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchClientTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchClientTest.java
@@ -20,6 +20,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
@@ -40,6 +41,10 @@
 import org.tanagermoor.policy.fleet.InstanceId;
 import org.tanagermoor.policy.fleet.Rendezvous;
 import org.tanagermoor.policy.quarantine.Quarantine;
+import org.tanagermoor.policy.rollout.Rollout;
+import org.tanagermoor.policy.rollout.RolloutLimits;
+import org.tanagermoor.policy.rollout.RolloutOrder;
+import org.tanagermoor.policy.rollout.RolloutPhase;
 import org.tanagermoor.store.table.TableService;
 import org.tanagermoor.wire.link.Channel;
 import org.tanagermoor.wire.link.PeerHandler;
@@ -337,6 +342,80 @@
         assertThat(first.takeAll(), hasSize(CAPACITY));
     }
 
+    /**
+     * A completed move needs the reports of all running instances. One that has no place and whose first report was
+     * lost reports again, and one that calls another dispatcher no longer counts as having reported.
+     */
+    @Test
+    void waitsForTheReportOfEachInstanceInARollout() {
+        beginRollout();
+        unreachable.add(first.instance.peer());
+        second.liveness.observe(new Liveness.Heartbeat(first.instance, 0, false), now);
+        first.liveness.observe(new Liveness.Heartbeat(second.instance, 0, false), now);
+        first.client.tick(now);
+        second.client.tick(now);
+        channel.runPendingTasks();
+        assertThat(allReported(first), is(false));
+        unreachable.clear();
+        introduce();
+        advance(4_000);
+        assertThat(allReported(first), is(true));
+        assertThat(allReported(second), is(false));
+        unreachable.add(first.instance.peer());
+        advance(3_500);
+        assertThat(allReported(first), is(false));
+    }
+
+    /**
+     * An instance that has become silent may still have requests in progress at old targets. It holds up the completion
+     * until it counts as ended.
+     */
+    @Test
+    void waitsForASilentInstanceInARollout() {
+        beginRollout();
+        introduce();
+        advance(4_000);
+        assertThat(allReported(first), is(true));
+        now += TimeUnit.MILLISECONDS.toNanos(5_000);
+        assertThat(first.liveness.running(now), is(empty()));
+        assertThat(allReported(first), is(false));
+        now += TimeUnit.MILLISECONDS.toNanos(1_500);
+        assertThat(allReported(first), is(true));
+    }
+
+    /** How a target answered reaches the dispatcher on another instance together with the outcome. */
+    @Test
+    void reportsHowATargetAnswered() {
+        Rollout rollout = beginRollout();
+        introduce();
+        rollout.adopt(new RolloutPhase.Moving(), now);
+        List<Long> permits = second.takeAll();
+        assertThat(permits, hasSize(CAPACITY));
+        second.client.release(
+                permits.get(0), PlaceOutcome.SERVED, new RunAnswer(true, 1_000_000, 1, 2_000_000, Optional.empty()));
+        second.client.release(permits.get(1), PlaceOutcome.SERVED);
+        advance(50);
+        assertThat(rollout.evidence(now).newBad(), is(1L));
+    }
+
+    /** Begins a roll-out to the version of the only target at both nodes, and returns that at the first one. */
+    private Rollout beginRollout() {
+        RolloutOrder order = new RolloutOrder("s", "v2", Duration.ofSeconds(30));
+        RolloutLimits limits = new RolloutLimits(0.1, 50, Duration.ofSeconds(5));
+        Rollout result = Rollout.of(order, limits, now);
+        for (Node node : List.of(first, second)) {
+            TargetEntry target = new TargetEntry("t", "s", node.instance.peer(), "lisbon", CAPACITY, false, 0, 0);
+            node.server.dispatcher().targets(List.of(target.withVersion("v2")), service -> 0, now);
+            node.server.dispatcher().rollouts(Map.of("s", node == first ? result : Rollout.of(order, limits, now)));
+        }
+        return result;
+    }
+
+    /** Returns whether all running instances have reported their places to a node. */
+    private boolean allReported(Node node) {
+        return node.server.rolloutView("s", true, now).allReported();
+    }
+
     /** Lets both nodes discover each other. */
     private void introduce() {
         heartbeat();
