Test roll-outs with the decision by evidence

RolloutsTest also lets the evidence of simulated traffic decide: the completion waits until nothing is left at old targets and every instance has reported, and a version that fails a fifth of its answers is rolled back. The tool, the labels of metrics and the rows of states have cases too. A new order now counts as not current until its state is written, since the new version could get requests in the 250 ms before the first check.

--- a/tanagermoor-cli/src/test/java/org/tanagermoor/cli/ToolTest.java
+++ b/tanagermoor-cli/src/test/java/org/tanagermoor/cli/ToolTest.java
@@ -67,6 +67,11 @@
                 (request, response) -> response.sendString(
                         Mono.just(
                                 "data: {\"choices\":[{\"text\":\"yes\"}]}\n\ndata: {\"choices\":[{\"text\":\" it is\"}]}\n\n")));
+        server.register(
+                "GET",
+                "/rollouts",
+                (request, response) ->
+                        response.sendString(Mono.just("s to v2: canary\n  evidence here: open\n")));
         server.register(
                 "GET",
                 "/v1/batches",
@@ -96,6 +101,9 @@
                 "key withdraw --sha256 12 | USAGE | '' | --sha256 must have 64 hexadecimal digits",
                 "--instances host:80 status | USAGE | '' | does not begin with an IP number",
                 "--instances 127.0.0.1:1 preset list | UNREACHABLE | '' | no connection",
+                "rollouts | DONE |   s to v2: canary | ''",
+                "--json rollouts | DONE | \"rollouts\":[\"s to v2: canary\",\"  evidence here: open\"]}] | ''",
+                "--instances 127.0.0.1:1 rollouts | UNREACHABLE | '' | no connection",
                 "dance now | USAGE | '' | no such command: dance now"
             })
     void endsWithTheDocumentedCode(String line, ExitCode code, String expectedOutput, String expectedError) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/rollout/Rollouts.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/rollout/Rollouts.java
@@ -221,6 +221,8 @@
         if (known == null || known.revision() != entry.revision()) {
             known = new RolloutRun(entry.revision(), entry.order(), limits, now);
             runs.put(service, known);
+            // The new version gets nothing before the next check has found the state written and current.
+            decision.next(known.rollout(), new RolloutView(0, 0, 0, false, false), now);
         }
         return known;
     }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/MetricsTextTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/MetricsTextTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.matchesPattern;
 
 import com.codahale.metrics.MetricRegistry;
@@ -29,4 +30,17 @@
                 everyItem(matchesPattern(
                         "# TYPE [a-z_]+ (counter|summary)|[a-z_]+(\\{quantile=\"[0-9.]+\"\\})? [0-9.E-]+")));
     }
+
+    /** Counters that differ by their labels have one type line; a second one makes readers reject the whole text. */
+    @Test
+    void writesLabels() {
+        MetricRegistry registry = new MetricRegistry();
+        registry.counter("rollout.requests{service=\"s-1\",side=\"new\"}").inc(2);
+        registry.counter("rollout.requests{service=\"s-1\",side=\"old\"}").inc(3);
+        assertThat(
+                MetricsText.of(registry),
+                is("# TYPE tanagermoor_rollout_requests_total counter\n"
+                        + "tanagermoor_rollout_requests_total{service=\"s-1\",side=\"new\"} 2.0\n"
+                        + "tanagermoor_rollout_requests_total{service=\"s-1\",side=\"old\"} 3.0\n"));
+    }
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/rollout/RolloutsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/rollout/RolloutsTest.java
@@ -28,6 +28,7 @@
 import org.tanagermoor.policy.rollout.Rollout;
 import org.tanagermoor.policy.rollout.RolloutPhase;
 import org.tanagermoor.policy.rollout.RolloutView;
+import org.tanagermoor.policy.rollout.RunReport;
 
 /** Several instances that carry out orders over one store, on a simulated clock and with scripted decisions. */
 final class RolloutsTest {
@@ -465,6 +466,49 @@
         assertThat(usable(0), is(Set.of("old-1", "old-2", "old-3", "first-1", "first-2")));
     }
 
+    /**
+     * The evidence decides, and the completion waits until nothing is left at old targets and each instance has
+     * reported.
+     *
+     * @param oldPlaces The places at old targets that stay in use.
+     * @param reported Whether all instances report.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, true", "1, true", "0, false"})
+    void completesOnlyWhenNothingIsLeft(int oldPlaces, boolean reported) {
+        first().decideByEvidence();
+        order("v2 20");
+        first().places(new RolloutView(40, 10, 10, true, true));
+        serve(15 * TICKS_PER_SECOND, 1);
+        assertThat(phases(), is(List.of(CANARY, MOVING)));
+        first().places(new RolloutView(40, 10, oldPlaces, reported, true));
+        serve(10 * TICKS_PER_SECOND, 1);
+        boolean completes = oldPlaces == 0 && reported;
+        assertThat(status(), is(completes ? "completed v2" : "running v2"));
+        first().places(new RolloutView(40, 10, 0, true, true));
+        serve(4 * TICKS_PER_SECOND, 1);
+        assertThat(status(), is("completed v2"));
+    }
+
+    /** A version that fails a fifth of its answers is rolled back, and operators see why. */
+    @Test
+    void rollsBackABadVersion() {
+        first().decideByEvidence();
+        order("v2 20");
+        first().places(new RolloutView(40, 10, 10, true, true));
+        serve(20 * TICKS_PER_SECOND, 5);
+        assertThat(status(), is("rolled_back v2"));
+        assertThat(usable(1), is(Set.of("old-1", "old-2")));
+        assertThat(first().logged(GatewayEvent.ROLLOUT_DECIDED), is(1L));
+        assertThat(first().text(), containsString("s to v2: rolled back (bad on "));
+        assertThat(
+                first().metrics(),
+                allOf(
+                        containsString("tanagermoor_rollout_requests_total{service=\"s\",side=\"new\"}"),
+                        containsString("tanagermoor_rollout_requests_total{service=\"s\",side=\"old\"}"),
+                        containsString("tanagermoor_rollout_bad_answers_total{service=\"s\",side=\"new\"}")));
+    }
+
     /** Operators see a running order with its evidence. */
     @Test
     void describesARunningOrder() {
@@ -509,6 +553,30 @@
         }
     }
 
+    /**
+     * Lets the first instance place 50 requests in each tick, all of which are answered in it.
+     *
+     * @param count The number of ticks.
+     * @param failEvery The new version fails each request with this position among its requests; 1 for none.
+     */
+    private void serve(int count, int failEvery) {
+        int served = 0;
+        for (int tick = 0; tick < count; tick++) {
+            Optional<Rollout> rollout = first().rollout(SERVICE);
+            for (int request = 0; rollout.isPresent() && request < 50; request++) {
+                Rollout running = rollout.get();
+                running.active(List.of("new-1", "new-2"), 10, now);
+                boolean newVersion = running.offerNew("r", now);
+                String target = newVersion ? "new-" + (1 + served % 2) : "old-" + (1 + request % 2);
+                served += newVersion ? 1 : 0;
+                boolean failed = newVersion && failEvery > 1 && served % failEvery == 0;
+                running.placed("r", newVersion, target, now);
+                running.ended(new RunReport("r", newVersion, target, failed, 20_000_000, 1_000_000), now);
+            }
+            ticks(1);
+        }
+    }
+
     private Set<String> usable(int instance) {
         return instances.get(instance).usable();
     }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/rollout/SimulatedInstance.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/rollout/SimulatedInstance.java
@@ -18,6 +18,7 @@
 import org.tanagermoor.gateway.FleetState;
 import org.tanagermoor.gateway.GatewayEvent;
 import org.tanagermoor.gateway.GatewayMetrics;
+import org.tanagermoor.gateway.MetricsText;
 import org.tanagermoor.gateway.duty.Duties;
 import org.tanagermoor.gateway.fleet.FleetCodec;
 import org.tanagermoor.gateway.fleet.FleetConfiguration;
@@ -56,6 +57,8 @@
 
     private final Rollouts rollouts;
 
+    private final MetricRegistry registry = new MetricRegistry();
+
     private final List<String> logged = new ArrayList<>();
 
     /** The decision, which is repeated until the phase is adopted; empty for none. */
@@ -92,7 +95,7 @@
                 () -> operatorTable.table().revision(),
                 name,
                 log,
-                new MetricRegistry());
+                registry);
         rollouts.decision(this::decide);
         operatorTable.start();
         targetTable.start();
@@ -145,6 +148,16 @@
         places = value;
     }
 
+    /** Lets the evidence decide from now on, and no longer the test. */
+    void decideByEvidence() {
+        rollouts.decision(Rollout::decide);
+    }
+
+    /** Returns the metrics as operators read them. */
+    String metrics() {
+        return MetricsText.of(registry);
+    }
+
     SimulatedStore.Connection store() {
         return store;
     }
