--- a/tanagermoor-cli/src/test/java/org/tanagermoor/cli/ToolTest.java
+++ b/tanagermoor-cli/src/test/java/org/tanagermoor/cli/ToolTest.java
@@ -70,8 +70,7 @@
         server.register(
                 "GET",
                 "/rollouts",
-                (request, response) ->
-                        response.sendString(Mono.just("s to v2: canary\n  evidence here: open\n")));
+                (request, response) -> response.sendString(Mono.just("s to v2: canary\n  evidence here: open\n")));
         server.register(
                 "GET",
                 "/v1/batches",
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/MetricsTextTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/MetricsTextTest.java
@@ -37,10 +37,10 @@
         MetricRegistry registry = new MetricRegistry();
         registry.counter("rollout.requests{service=\"s-1\",side=\"new\"}").inc(2);
         registry.counter("rollout.requests{service=\"s-1\",side=\"old\"}").inc(3);
-        assertThat(
-                MetricsText.of(registry),
-                is("# TYPE tanagermoor_rollout_requests_total counter\n"
-                        + "tanagermoor_rollout_requests_total{service=\"s-1\",side=\"new\"} 2.0\n"
-                        + "tanagermoor_rollout_requests_total{service=\"s-1\",side=\"old\"} 3.0\n"));
+        assertThat(MetricsText.of(registry), is("""
+                # TYPE tanagermoor_rollout_requests_total counter
+                tanagermoor_rollout_requests_total{service="s-1",side="new"} 2.0
+                tanagermoor_rollout_requests_total{service="s-1",side="old"} 3.0
+                """));
     }
 }
