--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -141,7 +141,8 @@
         String domain = self.domain();
         liveness = Liveness.of(self);
         FleetCodec codec = context.service(FleetCodec.class);
-        Optional<RolloutLimits> limits = context.service(GatewayFeatures.class).rollouts();
+        GatewayFeatures features = context.service(GatewayFeatures.class);
+        Optional<RolloutLimits> limits = features.rollouts();
         fleet = FleetState.of(codec, events, this::fleetChanged, limits.isPresent());
         ChangeFeed feed = context.service(ChangeFeed.class);
         operatorTable = follow(feed, codec.operatorTable(), () -> 0, fleet::operatorChanged);
@@ -150,6 +151,7 @@
         Quarantine parts = Quarantine.of();
         quarantine = PartQuarantine.of(parts, tables, loop, duties, events, time);
         dispatchServer = DispatchServer.of(loop, link, liveness, time, rates, parts);
+        dispatchServer.dispatcher().fairSharing(features.fairSharing());
         shareTable = ShareTable.of(tables, duties, dispatchServer, self.id().name(), events, time);
         dispatchClient = DispatchClient.of(loop, link, liveness, dispatchServer, events, time);
         connections = TargetConnections.of(
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
@@ -516,8 +516,8 @@
     }
 
     /** Returns the places that this instance occupies. */
-    private List<Dispatcher.OccupiedPlace> occupiedPlaces() {
-        List<Dispatcher.OccupiedPlace> result = new ArrayList<>();
+    private List<OccupiedPlace> occupiedPlaces() {
+        List<OccupiedPlace> result = new ArrayList<>();
         placements.values().forEach(placement -> {
             if (!placement.target.isEmpty()) {
                 result.add(placement.place(time.nanos()));
@@ -574,8 +574,8 @@
         }
 
         /** Returns the place in use, for a report to the dispatcher. */
-        private Dispatcher.OccupiedPlace place(long now) {
-            return new Dispatcher.OccupiedPlace(
+        private OccupiedPlace place(long now) {
+            return new OccupiedPlace(
                             ask.permit(),
                             ask.service(),
                             target,
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchCodec.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchCodec.java
@@ -206,7 +206,7 @@
     }
 
     /** Writes a place in use; {@link #fromMessage(HeldPermit)} reads it. */
-    static HeldPermit toMessage(Dispatcher.OccupiedPlace place) {
+    static HeldPermit toMessage(OccupiedPlace place) {
         return HeldPermit.newBuilder()
                 .setPermit(place.permit())
                 .setService(place.service())
@@ -221,8 +221,8 @@
     }
 
     /** Reads a place in use. */
-    static Dispatcher.OccupiedPlace fromMessage(HeldPermit message) {
-        Dispatcher.OccupiedPlace place = new Dispatcher.OccupiedPlace(
+    static OccupiedPlace fromMessage(HeldPermit message) {
+        OccupiedPlace place = new OccupiedPlace(
                 message.getPermit(),
                 message.getService(),
                 message.getTarget(),
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Grant.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Grant.java
@@ -49,7 +49,7 @@
     /** The monotonic time of the grant in nanoseconds; another dispatcher may have made it. */
     final long sentAt;
 
-    Grant(String holder, Dispatcher.OccupiedPlace place, String domain, long grantedAt) {
+    Grant(String holder, OccupiedPlace place, String domain, long grantedAt) {
         this.holder = holder;
         this.domain = domain;
         slack = place.slackNanos();
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -315,8 +315,8 @@
     }
 
     /**
-     * Returns the queued online requests that cannot be served in time any more, because requests of teams with a larger
-     * claim arrived after them.
+     * Returns the queued online requests that cannot be served in time any more, because requests of teams with a
+     * larger claim arrived after them.
      *
      * @param now The current monotonic time in nanoseconds.
      */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
@@ -83,7 +83,7 @@
         this(entry, coldPerSecond, TargetPace.ofFull(now), now);
     }
 
-    /** Creates the places of a target with a pace. */
+    /** Creates the places of a target whose requests in progress are limited by a pace. */
     TargetPlaces(TargetEntry entry, double coldPerSecond, TargetPace pace, long now) {
         this.entry = entry;
         this.pace = pace;
@@ -259,8 +259,8 @@
     }
 
     /**
-     * Avoids the target. One that reports its speed is then used at the pace at which it answers; another one is used as
-     * before when the time is over.
+     * Avoids the target. One that reports its speed is then used at the pace at which it answers; another one is used
+     * as before when the time is over.
      */
     private void avoid(long now) {
         if (speed.reported()) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -428,11 +428,7 @@
         if (lastEvent == 0 || frames.insideEvent()) {
             recordFailedRun("the answer ended inside an event");
             excluded.add(targetId());
-            retry(
-                    delivery.framed()
-                            ? PlaceOutcome.FAILED
-                            : PlaceOutcome.ofEarlyEnd(accepted, lastEvent - startEvent, true),
-                    RETRY_DELAY_MILLIS);
+            retry(delivery.framed() ? PlaceOutcome.FAILED : endedOutcome(), RETRY_DELAY_MILLIS);
             return;
         }
         context.pace().recordEnd(lastEvent);
@@ -452,14 +448,15 @@
             retry(PlaceOutcome.UNREACHABLE, 0);
         } else {
             boolean connectionEnded = failure.kind() == Failure.Kind.UNAVAILABLE;
-            retry(
-                    connectionEnded
-                            ? PlaceOutcome.ofEarlyEnd(accepted, lastEvent - startEvent, true)
-                            : PlaceOutcome.FAILED,
-                    RETRY_DELAY_MILLIS);
+            retry(connectionEnded ? endedOutcome() : PlaceOutcome.FAILED, RETRY_DELAY_MILLIS);
         }
     }
 
+    /** Returns the outcome of a run whose connection has ended too early. */
+    private PlaceOutcome endedOutcome() {
+        return PlaceOutcome.ofEarlyEnd(accepted, lastEvent - startEvent, true);
+    }
+
     /** Ends the item, whose time is over, without completing it, and reports a result without output. */
     void abandon(String reason) {
         abandon(reason, PlaceOutcome.ABANDONED);
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchCodecTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchCodecTest.java
@@ -82,8 +82,7 @@
     /** A place in use keeps its route, to which a later dispatcher attributes the end of its run. */
     @Test
     void keepsTheRouteOfAPlace() {
-        Dispatcher.OccupiedPlace place =
-                new Dispatcher.OccupiedPlace(1, "assistant", "t", true, 0, Work.NONE).withRoute("chat");
+        OccupiedPlace place = new OccupiedPlace(1, "assistant", "t", true, 0, Work.NONE).withRoute("chat");
         assertThat(DispatchCodec.fromMessage(DispatchCodec.toMessage(place)).route(), is("chat"));
     }
 
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherTest.java
@@ -197,9 +197,9 @@
     /** A new dispatcher counts the places that holders report. */
     @Test
     void countsThePlacesThatAHolderReports() {
-        List<Dispatcher.OccupiedPlace> places = new ArrayList<>();
+        List<OccupiedPlace> places = new ArrayList<>();
         for (long permit = 1; permit <= 3; permit++) {
-            places.add(new Dispatcher.OccupiedPlace(permit, SERVICE, permit < 3 ? "a" : "b", false, 0, Work.NONE));
+            places.add(new OccupiedPlace(permit, SERVICE, permit < 3 ? "a" : "b", false, 0, Work.NONE));
         }
         dispatcher.resync("x", places, now);
         PlacementDecision.Granted granted =
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/FairShareLoadTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/FairShareLoadTest.java
@@ -149,7 +149,7 @@
                     if (counted.contains(entry.getKey())) {
                         result.served.merge(teamOf.get(entry.getKey()), 1, Integer::sum);
                     }
-                    long end = millis + RUN_MILLIS / 2 + random.nextInt(RUN_MILLIS);
+                    long end = millis + RUN_MILLIS / 2L + random.nextInt(RUN_MILLIS);
                     ends.computeIfAbsent(end, key -> new ArrayList<>()).add(entry.getKey());
                 }
             }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/RolloutPlacementTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/RolloutPlacementTest.java
@@ -204,7 +204,7 @@
     /** A request that the share would allow at the new version goes to an old target if no new place is free. */
     @Test
     void usesOldTargetsWhenTheNewOnesAreFull() {
-        List<Dispatcher.OccupiedPlace> places = new ArrayList<>();
+        List<OccupiedPlace> places = new ArrayList<>();
         for (long permit = 1; permit <= 8; permit++) {
             places.add(online(permit, permit <= 4 ? "v2-c" : "v2-d"));
         }
@@ -399,11 +399,11 @@
                 .withTraits(new RequestTraits(ROUTE, 0, OptionalInt.empty()));
     }
 
-    private static Dispatcher.OccupiedPlace item(long permit, String target) {
-        return new Dispatcher.OccupiedPlace(permit, SERVICE, target, true, 0, Work.NONE).withRoute(ROUTE);
+    private static OccupiedPlace item(long permit, String target) {
+        return new OccupiedPlace(permit, SERVICE, target, true, 0, Work.NONE).withRoute(ROUTE);
     }
 
-    private static Dispatcher.OccupiedPlace online(long permit, String target) {
-        return new Dispatcher.OccupiedPlace(permit, SERVICE, target, false, 0, Work.NONE).withRoute(ROUTE);
+    private static OccupiedPlace online(long permit, String target) {
+        return new OccupiedPlace(permit, SERVICE, target, false, 0, Work.NONE).withRoute(ROUTE);
     }
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobLoad.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobLoad.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import org.tanagermoor.gateway.dispatch.Ask;
 import org.tanagermoor.gateway.dispatch.Dispatcher;
+import org.tanagermoor.gateway.dispatch.OccupiedPlace;
 import org.tanagermoor.gateway.dispatch.PlaceOutcome;
 import org.tanagermoor.gateway.dispatch.PlacementDecision;
 import org.tanagermoor.gateway.dispatch.TeamRates;
@@ -241,13 +242,13 @@
         dispatcher = dispatcher();
         dispatcher.targets(targets, service -> 0, now);
         dispatcher.takeOver(Map.of(SERVICE, remaining));
-        List<Dispatcher.OccupiedPlace> heldPlaces = new ArrayList<>();
+        List<OccupiedPlace> heldPlaces = new ArrayList<>();
         online.keySet()
-                .forEach(permit -> heldPlaces.add(new Dispatcher.OccupiedPlace(
-                        permit, SERVICE, targetByPermit.get(permit), false, 0, Work.NONE)));
+                .forEach(permit -> heldPlaces.add(
+                        new OccupiedPlace(permit, SERVICE, targetByPermit.get(permit), false, 0, Work.NONE)));
         permits.forEach((permit, item) -> {
             if (item.runStartedAt > 0) {
-                heldPlaces.add(new Dispatcher.OccupiedPlace(
+                heldPlaces.add(new OccupiedPlace(
                         permit,
                         SERVICE,
                         targetByPermit.get(permit),
