--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import org.jspecify.annotations.Nullable;
 import org.tanagermoor.gateway.dispatch.DispatchClient;
 import org.tanagermoor.gateway.dispatch.DispatchServer;
+import org.tanagermoor.gateway.dispatch.LoadMonitor;
 import org.tanagermoor.gateway.dispatch.ShareTable;
 import org.tanagermoor.gateway.dispatch.TeamRates;
 import org.tanagermoor.gateway.duty.Duties;
@@ -108,6 +109,9 @@
     /** Assigns places to requests of this and other instances. */
     private final DispatchServer dispatchServer;
 
+    /** Shows operators what the load does to targets and requests. */
+    private final LoadMonitor loadMonitor;
+
     /** Claims the shares of the rates in the control store while some are missing. */
     private final ShareTable shareTable;
 
@@ -150,8 +154,8 @@
         TableService tables = context.service(TableService.class);
         Quarantine parts = Quarantine.of();
         quarantine = PartQuarantine.of(parts, tables, loop, duties, events, time);
-        dispatchServer = DispatchServer.of(loop, link, liveness, time, rates, parts);
-        dispatchServer.dispatcher().fairSharing(features.fairSharing());
+        dispatchServer = dispatchServer(link, parts, features.fairSharing());
+        loadMonitor = LoadMonitor.of(dispatchServer.dispatcher(), events, context.metrics());
         shareTable = ShareTable.of(tables, duties, dispatchServer, self.id().name(), events, time);
         dispatchClient = DispatchClient.of(loop, link, liveness, dispatchServer, events, time);
         connections = TargetConnections.of(
@@ -195,6 +199,13 @@
         return new Gateway(context, loop);
     }
 
+    /** Returns the server of the decisions on places. Call it after the fields that it reads are set. */
+    private DispatchServer dispatchServer(PeerLink link, Quarantine parts, boolean fairSharing) {
+        DispatchServer server = DispatchServer.of(loop, link, liveness, time, rates, parts);
+        server.dispatcher().fairSharing(fairSharing);
+        return server;
+    }
+
     /** Returns the roll-outs. Call it after the fields that it reads are set. */
     private Rollouts rollouts(Context context, RolloutLimits limits) {
         RolloutTable table = RolloutTable.of(
@@ -344,6 +355,7 @@
         duties.run("fleet", () -> fleet.tick(now));
         duties.run("dispatch client", () -> dispatchClient.tick(now));
         duties.run("dispatch server", () -> dispatchServer.tick(now));
+        duties.run("load", loadMonitor::tick);
         duties.run("rate shares", () -> shareTable.tick(now));
         duties.run(
                 "quarantine",
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
@@ -142,7 +142,10 @@
     DUTIES_EXHAUSTED(2245, Level.ERROR, "this instance ends because it cannot do its duties"),
 
     /** A roll-out has ended, completed or rolled back; its phase does not change any more. */
-    ROLLOUT_ENDED(2246, Level.INFO, "a roll-out ended");
+    ROLLOUT_ENDED(2246, Level.INFO, "a roll-out ended"),
+
+    /** The limit of the requests in progress at a target by its pace began or ended. */
+    TARGET_PACE_CHANGED(2247, Level.INFO, "the limit of a target by its pace began or ended");
 
     private final Entry entry;
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
@@ -26,7 +26,7 @@
 import reactor.core.publisher.MonoSink;
 
 /** Answers the asks of this and other instances with the decisions of a dispatcher. Confined to the event loop. */
-public final class DispatchServer implements Dispatcher.Sink {
+public final class DispatchServer implements DispatchSink {
 
     /** The maximum time for which an ask stays unanswered, in milliseconds; its holder then repeats it. */
     private static final long ANSWER_MILLIS = 200;
--- /dev/null
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchSink.java
@@ -0,0 +1,16 @@
+package org.tanagermoor.gateway.dispatch;
+
+import org.tanagermoor.policy.quarantine.QuarantineEntry;
+
+/** Receives what the dispatcher decides outside of a call of {@link Dispatcher#ask}. */
+public interface DispatchSink {
+
+    /** Called with the decision on a queued ask. */
+    void decided(Ask ask, PlacementDecision decision);
+
+    /** Called to ask the holder of a permit of an item of a job to return it. */
+    void recall(String holder, long permit);
+
+    /** Called with the new record of a part that is held back, tried or released. */
+    void quarantineChanged(QuarantineEntry entry);
+}
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -12,10 +12,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.policy.quarantine.Crash;
 import org.tanagermoor.policy.quarantine.Quarantine;
-import org.tanagermoor.policy.quarantine.QuarantineEntry;
 import org.tanagermoor.policy.rollout.Rollout;
 
 /**
@@ -67,14 +67,14 @@
     private final Set<ServiceQueue> drainAgain = new HashSet<>();
 
     /** Receives the decisions on queued asks, and the recalls. */
-    private final Sink sink;
+    private final DispatchSink sink;
 
     private final TeamRates rates;
 
     /** Holds back parts of prompts that crash targets. */
     private final PartGuard parts;
 
-    private Dispatcher(Sink sink, TeamRates rates, Quarantine quarantine) {
+    private Dispatcher(DispatchSink sink, TeamRates rates, Quarantine quarantine) {
         this.sink = sink;
         this.rates = rates;
         parts = new PartGuard(quarantine, sink::quarantineChanged);
@@ -88,7 +88,7 @@
      * @param quarantine The parts of prompts that are held back; changed by what is learnt of targets.
      * @return A dispatcher.
      */
-    public static Dispatcher of(Sink sink, TeamRates rates, Quarantine quarantine) {
+    public static Dispatcher of(DispatchSink sink, TeamRates rates, Quarantine quarantine) {
         return new Dispatcher(sink, rates, quarantine);
     }
 
@@ -360,7 +360,7 @@
         });
     }
 
-    /** Refuses the queued asks that cannot be served in time, since asks of other teams go before them. */
+    /** Refuses the queued asks that others have overtaken. */
     private void refuseOvertaken(ServiceQueue queue, long now) {
         List<ServiceQueue.Waiting> overtaken = queue.overtaken(now);
         if (!overtaken.isEmpty()) {
@@ -384,6 +384,18 @@
         }
     }
 
+    /** Returns the identities of the targets whose requests in progress are limited by their pace. */
+    Set<String> limitedTargets() {
+        return services.values().stream().flatMap(ServiceQueue::limited).collect(Collectors.toSet());
+    }
+
+    /** Returns the number of queued requests so far that were refused because others overtook them. */
+    long overtakenRequests() {
+        return services.values().stream()
+                .mapToLong(ServiceQueue::overtakenRequests)
+                .sum();
+    }
+
     /** Returns whether any ask is queued. */
     public boolean hasWaiting() {
         return services.values().stream()
@@ -584,17 +596,4 @@
     private static long millis(double nanos) {
         return Math.max(MIN_RETRY_MILLIS, (long) (nanos / 1e6));
     }
-
-    /** Receives what the dispatcher decides outside of a call of {@link Dispatcher#ask}. */
-    public interface Sink {
-
-        /** Called with the decision on a queued ask. */
-        void decided(Ask ask, PlacementDecision decision);
-
-        /** Called to ask the holder of a permit of an item of a job to return it. */
-        void recall(String holder, long permit);
-
-        /** Called with the new record of a part that is held back, tried or released. */
-        void quarantineChanged(QuarantineEntry entry);
-    }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.tanagermoor.policy.target.TargetPace;
 
 /** The targets of a service and the asks that wait for their places. Not thread-safe. */
@@ -65,6 +66,9 @@
     /** The order of online requests by fair shares; empty if the order of arrival decides. */
     private Optional<FairOrder> fairOrder = Optional.empty();
 
+    /** The number of requests so far that others have overtaken. */
+    private long overtakenRequests;
+
     /** Estimates the fraction of the places that online requests leave free. */
     private HeadroomEstimator estimator = HeadroomEstimator.of();
 
@@ -103,6 +107,13 @@
         return speedReported ? TargetPace.ofStart(now) : TargetPace.ofFull(now);
     }
 
+    /** Returns the identities of the targets whose requests in progress are limited by their pace. */
+    Stream<String> limited() {
+        return places.values().stream()
+                .filter(TargetPlaces::paced)
+                .map(place -> place.entry().id());
+    }
+
     /** Returns the queued online requests; changes take effect. */
     List<Waiting> online() {
         return online;
@@ -335,9 +346,15 @@
                 before++;
             }
         }
+        overtakenRequests += result.size();
         return result;
     }
 
+    /** Returns the number of requests so far that others have overtaken. */
+    long overtakenRequests() {
+        return overtakenRequests;
+    }
+
     /** Updates the mean with the time for which an online request occupied its place. */
     void occupied(long nanos) {
         occupancyNanos += OCCUPANCY_WEIGHT * (nanos - occupancyNanos);
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/CrashLoad.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/CrashLoad.java
@@ -20,7 +20,7 @@
  * A load of online requests and of items of jobs on a dispatcher, with a simulated clock, targets that fail in a given
  * way, and a part of prompts that may crash targets.
  */
-final class CrashLoad implements Dispatcher.Sink {
+final class CrashLoad implements DispatchSink {
 
     /** The part that a tenth of the online requests share. */
     static final String ONLINE_PART = "online-part";
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherFixture.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherFixture.java
@@ -61,7 +61,7 @@
     /** Returns a dispatcher whose decisions on queued asks are recorded. */
     Dispatcher dispatcher() {
         return Dispatcher.of(
-                new Dispatcher.Sink() {
+                new DispatchSink() {
                     /** {@inheritDoc} */
                     @Override
                     public void decided(Ask ask, PlacementDecision decision) {
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobLoad.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobLoad.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.tanagermoor.gateway.dispatch.Ask;
+import org.tanagermoor.gateway.dispatch.DispatchSink;
 import org.tanagermoor.gateway.dispatch.Dispatcher;
 import org.tanagermoor.gateway.dispatch.OccupiedPlace;
 import org.tanagermoor.gateway.dispatch.PlaceOutcome;
@@ -404,7 +405,7 @@
     }
 
     /** Receives the decisions that the dispatcher makes later, and its recalls. */
-    private final class Decisions implements Dispatcher.Sink {
+    private final class Decisions implements DispatchSink {
 
         /** {@inheritDoc} */
         @Override
