--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -110,13 +110,8 @@
                     place.update(entry, now);
                 }
             } else {
-                places.put(
-                        entry.id(),
-                        new TargetPlaces(
-                                entry,
-                                coldPerSecond.applyAsDouble(entry.service()),
-                                queue(entry.service()).startingPace(now),
-                                now));
+                double cold = coldPerSecond.applyAsDouble(entry.service());
+                queue(entry.service()).start(entry, cold, grants(entry.service()), now);
             }
         }
         services.forEach((name, queue) -> queue.places()
@@ -189,6 +184,7 @@
      *     reported.
      */
     public void takeOver(Map<String, Double> headroomByService) {
+        services.values().forEach(queue -> queue.places().values().forEach(TargetPlaces::resetPace));
         services.forEach((name, queue) -> queue.resetHeadroom(
                 headroomByService.containsKey(name)
                         ? HeadroomEstimator.after(headroomByService.get(name))
@@ -251,7 +247,7 @@
         ServiceQueue queue = queue(place.service);
         queue.rollout().ended(place, outcome, answer, now);
         TargetPlaces target = queue.places().get(place.target);
-        if (target != null) {
+        if (target != null && !place.earlierProcess) {
             target.release(place.batch, outcome, now);
             target.recordOutcome(place.domain, outcome, now);
             queue.answered(target, outcome, answer, now);
@@ -331,13 +327,12 @@
             recalled.remove(place);
             queue(place.service).rollout().lost(place, now);
             TargetPlaces target = queue(place.service).places().get(place.target);
-            if (target != null) {
+            if (target != null && !place.earlierProcess) {
                 target.release(place.batch, PlaceOutcome.UNUSED, now);
             }
         });
         services.values().forEach(queue -> {
-            queue.online().removeIf(waiting -> waiting.ask().holder().equals(holder));
-            queue.batch().removeIf(waiting -> waiting.ask().holder().equals(holder));
+            queue.forget(holder);
             drain(queue, now);
         });
     }
@@ -351,8 +346,8 @@
         services.forEach((name, queue) -> {
             queue.observe(now);
             recallExcluded(name, queue, now);
-            refuseHeldBack(queue.online(), now);
-            refuseHeldBack(queue.batch(), now);
+            refuseHeldBack(queue, queue.online(), now);
+            refuseHeldBack(queue, queue.batch(), now);
             expire(queue, queue.online(), now);
             expire(queue, queue.batch(), now);
             drain(queue, now);
@@ -445,7 +440,7 @@
     private void drainOnce(ServiceQueue queue, long now) {
         while (!queue.online().isEmpty()) {
             ServiceQueue.Waiting next = queue.nextOnline(now);
-            if (refuseHeldBack(queue.online(), next, now)) {
+            if (refuseHeldBack(queue, queue.online(), next, now)) {
                 continue;
             }
             if (!serve(queue, queue.online(), next, now)) {
@@ -454,7 +449,7 @@
         }
         while (!batchPaused && !queue.batch().isEmpty()) {
             ServiceQueue.Waiting next = queue.nextBatch(now);
-            if (!refuseHeldBack(queue.batch(), next, now) && !serve(queue, queue.batch(), next, now)) {
+            if (!refuseHeldBack(queue, queue.batch(), next, now) && !serve(queue, queue.batch(), next, now)) {
                 return;
             }
         }
@@ -473,16 +468,18 @@
     }
 
     /** Refuses the asks of a queue that have a part that is held back. */
-    private void refuseHeldBack(List<ServiceQueue.Waiting> waiting, long now) {
+    private void refuseHeldBack(ServiceQueue queue, List<ServiceQueue.Waiting> waiting, long now) {
         if (parts.anyHeldBack()) {
-            List.copyOf(waiting).forEach(next -> refuseHeldBack(waiting, next, now));
+            List.copyOf(waiting).forEach(next -> refuseHeldBack(queue, waiting, next, now));
         }
     }
 
     /** Refuses a queued ask if it has a part that is held back; returns whether it did. */
-    private boolean refuseHeldBack(List<ServiceQueue.Waiting> waiting, ServiceQueue.Waiting next, long now) {
+    private boolean refuseHeldBack(
+            ServiceQueue queue, List<ServiceQueue.Waiting> waiting, ServiceQueue.Waiting next, long now) {
         Optional<PlacementDecision> held = parts.refusal(next.ask(), now);
         if (held.isPresent() && waiting.remove(next)) {
+            queue.withdrawn(next);
             sink.decided(next.ask(), held.get());
         }
         return held.isPresent();
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/FairOrder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/FairOrder.java
@@ -1,5 +1,7 @@
 package org.tanagermoor.gateway.dispatch;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.function.ToDoubleFunction;
 import org.tanagermoor.policy.target.VirtualTimes;
 
@@ -19,22 +21,36 @@
     /** The number of requests of a team that come at once and are served as if they had come evenly. */
     private static final double BURST_REQUESTS = 4;
 
+    /**
+     * The minimum rate by which a team is weighed, per second. A configured rate may be 0; its cost would be infinite,
+     * and the virtual time would no longer be a number.
+     */
+    private static final double MIN_RATE = 0.01;
+
+    /** The maximum number of teams whose rates are remembered. */
+    private static final int MAX_TEAMS = 4_096;
+
     private final VirtualTimes<String> times = VirtualTimes.ofBurst(BURST_REQUESTS);
 
     /** Returns the rate of a team that is configured, or the mean rate if it has none. */
     private final ToDoubleFunction<String> rates;
 
+    /** The rates by which the teams were weighed last. */
+    private final Map<String, Double> lastRates = new HashMap<>();
+
     FairOrder(ToDoubleFunction<String> rates) {
         this.rates = rates;
     }
 
     /** Adds an ask, and returns its position in virtual time; lower positions are served first. */
     double add(Ask ask) {
+        applyRate(ask.team());
         return times.add(ask.team(), cost(ask)) - bonus(ask);
     }
 
     /** Returns the position that an ask would get. */
     double position(Ask ask) {
+        applyRate(ask.team());
         return times.start(ask.team(), cost(ask)) - bonus(ask);
     }
 
@@ -43,14 +59,35 @@
         times.served(position + bonus(ask));
     }
 
-    /** Records that an ask with a position is not granted a place. */
-    void withdrawn(Ask ask, double position) {
-        times.withdrawn(ask.team(), position + bonus(ask), cost(ask));
+    /**
+     * Records that an ask is not granted a place.
+     *
+     * @return By how much the positions of the later asks of its team decrease.
+     */
+    double withdrawn(Ask ask) {
+        times.regained(ask.team(), cost(ask));
+        return cost(ask);
+    }
+
+    /** Charges a team whose rate has changed for its earlier asks by the new rate. */
+    private void applyRate(String team) {
+        double rate = rate(team);
+        Double last = lastRates.put(team, rate);
+        if (last != null && last != rate) {
+            times.rescaled(team, last / rate);
+        }
+        if (lastRates.size() > MAX_TEAMS) {
+            lastRates.clear();
+        }
+    }
+
+    private double rate(String team) {
+        return Math.max(MIN_RATE, rates.applyAsDouble(team));
     }
 
     private double cost(Ask ask) {
         int rank = Math.min(LOWEST_RANK, Math.max(0, ask.traits().priority().orElse(0)));
-        return (1 << rank) / rates.applyAsDouble(ask.team());
+        return (1 << rank) / rate(ask.team());
     }
 
     private double bonus(Ask ask) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Grant.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Grant.java
@@ -26,6 +26,9 @@
     @Nullable
     String version;
 
+    /** Whether the place was taken at an earlier process of a target whose pace starts anew. */
+    boolean earlierProcess;
+
     /** The roll-out that has counted the place as placed; {@code null} if none has. */
     @Nullable
     Rollout countedBy;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.policy.target.TargetPace;
 
 /** The targets of a service and the asks that wait for their places. Not thread-safe. */
@@ -41,6 +42,11 @@
     /** The weight of a new observation in the mean time for which a place is occupied. */
     private static final double OCCUPANCY_WEIGHT = 0.05;
 
+    /** The order in which targets are chosen. The figures of each target are determined once for each choice. */
+    private static final Comparator<Candidate> PREFERENCE = Comparator.comparing(Candidate::suspected)
+            .thenComparingDouble(Candidate::load)
+            .thenComparing(Candidate::remote);
+
     /** The targets by identity, with their places. */
     private final Map<String, TargetPlaces> places = new LinkedHashMap<>();
 
@@ -62,6 +68,9 @@
     /** Whether any target of the service has reported its speed. */
     private boolean speedReported;
 
+    /** The number of online requests that have been queued. */
+    private long added;
+
     /** The order of online requests by fair shares; empty if the order of arrival decides. */
     private Optional<FairOrder> fairOrder = Optional.empty();
 
@@ -103,6 +112,34 @@
         return speedReported ? TargetPace.ofStart(now) : TargetPace.ofFull(now);
     }
 
+    /**
+     * Adds a target that has started, or replaces its earlier process. If its pace starts anew, the places that are in
+     * use at the earlier process are not counted at this one: their ends would admit further requests to it.
+     *
+     * @param entry The entry of the target.
+     * @param coldPerSecond The requests per second that it can handle while it is cold; 0 for no limit.
+     * @param grants The granted places of the service.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    void start(TargetEntry entry, double coldPerSecond, List<Grant> grants, long now) {
+        if (speedReported) {
+            grants.stream()
+                    .filter(grant -> grant.target.equals(entry.id()))
+                    .forEach(grant -> grant.earlierProcess = true);
+        }
+        places.put(entry.id(), new TargetPlaces(entry, coldPerSecond, startingPace(now), now));
+    }
+
+    /** Removes the asks of a holder that no longer runs. */
+    void forget(String holder) {
+        List<Waiting> gone = online.stream()
+                .filter(waiting -> waiting.ask().holder().equals(holder))
+                .toList();
+        online.removeAll(gone);
+        gone.forEach(this::withdrawn);
+        batch.removeIf(waiting -> waiting.ask().holder().equals(holder));
+    }
+
     /** Returns the queued online requests; changes take effect. */
     List<Waiting> online() {
         return online;
@@ -124,16 +161,25 @@
     /** Queues an ask. */
     void add(Ask ask, long now) {
         if (ask.batch()) {
-            batch.add(new Waiting(ask, 0, now));
+            batch.add(new Waiting(ask, 0, 0, now));
         } else {
-            online.add(new Waiting(ask, fairOrder.map(order -> order.add(ask)).orElse(0.0), now));
+            added++;
+            online.add(new Waiting(
+                    ask, added, fairOrder.map(order -> order.add(ask)).orElse(0.0), now));
         }
     }
 
-    /** Records that a queued ask is not granted a place. */
+    /** Records that a queued ask is not granted a place; the later asks of its team move up. */
     void withdrawn(Waiting waiting) {
-        if (!waiting.ask().batch()) {
-            fairOrder.ifPresent(order -> order.withdrawn(waiting.ask(), waiting.position()));
+        if (waiting.ask().batch() || fairOrder.isEmpty()) {
+            return;
+        }
+        double cost = fairOrder.get().withdrawn(waiting.ask());
+        for (Waiting other : online) {
+            if (other.number > waiting.number
+                    && other.ask().team().equals(waiting.ask().team())) {
+                other.position -= cost;
+            }
         }
     }
 
@@ -185,8 +231,13 @@
 
     /** Returns the time that an online request is expected to wait behind a number of others, in nanoseconds. */
     private double expectedWait(long before, long now) {
-        long position = before + 1 - batchPlaces(now);
-        return position <= 0 ? RECALL_NANOS : position * occupancyNanos / (usablePlaces(now) + 1);
+        return expectedWait(before, batchPlaces(now), usablePlaces(now));
+    }
+
+    /** Returns the same by the numbers of places that items of jobs use, and of all usable places. */
+    private double expectedWait(long before, int batchPlaces, int usablePlaces) {
+        long position = before + 1 - batchPlaces;
+        return position <= 0 ? RECALL_NANOS : position * occupancyNanos / (usablePlaces + 1);
     }
 
     /** Returns the total number of places of usable targets for any request, free or in use. */
@@ -235,12 +286,16 @@
 
     /** Chooses among the targets that a condition permits. */
     private Optional<TargetPlaces> choose(Ask ask, Predicate<TargetPlaces> permitted, long now) {
-        Optional<TargetPlaces> best = places.values().stream()
+        Optional<Candidate> first = places.values().stream()
                 .filter(place -> available(place, ask, now) && permitted.test(place))
-                .min(Comparator.<TargetPlaces, Boolean>comparing(place -> place.suspected(ask.domain(), now))
-                        .thenComparingDouble(place -> load(place, now))
-                        .thenComparing(place -> !place.entry().domain().equals(ask.domain())));
-        double maxLoad = best.map(place -> load(place, now) + PROMPT_LOAD).orElse(0.0);
+                .map(place -> new Candidate(
+                        place,
+                        place.suspected(ask.domain(), now),
+                        load(place, now),
+                        !place.entry().domain().equals(ask.domain())))
+                .min(PREFERENCE);
+        Optional<TargetPlaces> best = first.map(Candidate::place);
+        double maxLoad = first.map(candidate -> candidate.load() + PROMPT_LOAD).orElse(0.0);
         return remembered(ask)
                 .filter(permitted)
                 .filter(last -> available(last, ask, now) && !last.suspected(ask.domain(), now))
@@ -296,7 +351,8 @@
     }
 
     /**
-     * Records how a target answered.
+     * Records how a target answered. The usual time to the first event is learnt from targets that their pace does not
+     * limit, or from all if it limits all: otherwise all answers would be late for ever once all take longer.
      *
      * @param target The target.
      * @param outcome How the use of the place ended.
@@ -307,7 +363,8 @@
         boolean paced = target.paced();
         target.answered(outcome, answer, firstEventNanos, now);
         speedReported |= target.reportsSpeed();
-        if (!paced && answer.firstEventNanos() > 0 && outcome.success()) {
+        boolean learns = !paced || places.values().stream().allMatch(TargetPlaces::paced);
+        if (learns && answer.firstEventNanos() > 0 && outcome.success()) {
             firstEventNanos = firstEventNanos == 0
                     ? answer.firstEventNanos()
                     : firstEventNanos + OCCUPANCY_WEIGHT * (answer.firstEventNanos() - firstEventNanos);
@@ -326,10 +383,12 @@
         }
         List<Waiting> result = new ArrayList<>();
         long before = 0;
+        int batchPlaces = batchPlaces(now);
+        int usablePlaces = usablePlaces(now);
         for (Waiting waiting : online.stream()
                 .sorted(Comparator.comparingDouble(Waiting::position))
                 .toList()) {
-            if (expectedWait(before, now) > waiting.remainingWait(now)) {
+            if (expectedWait(before, batchPlaces, usablePlaces) > waiting.remainingWait(now)) {
                 result.add(waiting);
             } else {
                 before++;
@@ -418,13 +477,26 @@
                 .sum();
     }
 
+    /**
+     * A target that may be chosen.
+     *
+     * @param place The target.
+     * @param suspected Whether other targets are preferable.
+     * @param load The load of the target.
+     * @param remote Whether it runs in another failure domain than the holder.
+     */
+    private record Candidate(TargetPlaces place, boolean suspected, double load, boolean remote) {}
+
     /** A queued ask. */
     static final class Waiting {
 
         private final Ask ask;
 
         /** The position in the order of fair shares; 0 if the order of arrival decides. */
-        private final double position;
+        private double position;
+
+        /** The number in the order of arrival; 0 for an item of a job. */
+        private final long number;
 
         /** The monotonic time of its arrival in nanoseconds. */
         private final long arrivedAt;
@@ -433,8 +505,9 @@
         private long lastAskedAt;
 
         /** Creates a queued ask that arrived now. */
-        Waiting(Ask ask, double position, long now) {
+        Waiting(Ask ask, long number, double position, long now) {
             this.ask = ask;
+            this.number = number;
             this.position = position;
             arrivedAt = now;
             lastAskedAt = now;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
@@ -136,7 +136,15 @@
     }
 
     /**
-     * Records how the target answered a request.
+     * Ends the limit by the pace, since another instance may have decided meanwhile and seen how the target answers.
+     */
+    void resetPace() {
+        pace.reset();
+    }
+
+    /**
+     * Records how the target answered a request. A caller that leaves before the first event shows nothing of the pace.
+     * The answers of a slow machine are expected later.
      *
      * @param outcome How the use of the place ended.
      * @param answer The answer.
@@ -145,8 +153,10 @@
      */
     void answered(PlaceOutcome outcome, RunAnswer answer, double usualFirstEventNanos, long now) {
         answer.load().ifPresent(report -> speed.report(report.load().workPercent(), report.receivedAt()));
-        if (outcome.success() && !answer.failedAnswer()) {
-            pace.answered(answer.firstEventNanos(), (long) usualFirstEventNanos, entry.capacity(), now);
+        boolean answered = outcome == PlaceOutcome.SERVED || (outcome.success() && answer.firstEventNanos() > 0);
+        if (answered && !answer.failedAnswer()) {
+            double usual = usualFirstEventNanos * Math.max(1, speed.slowness(now));
+            pace.answered(answer.firstEventNanos(), (long) usual, entry.capacity(), now);
         }
     }
 
@@ -259,11 +269,11 @@
     }
 
     /**
-     * Avoids the target. One that reports its speed is then used at the pace at which it answers; another one is used
-     * as before when the time is over.
+     * Avoids the target. One that reports its speed, or is new in a service whose targets do, is then used at the pace
+     * at which it answers; another one is used as before when the time is over.
      */
     private void avoid(long now) {
-        if (speed.reported()) {
+        if (speed.reported() || paced()) {
             pace.failed(now);
             failures++;
             return;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TeamRates.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TeamRates.java
@@ -44,6 +44,9 @@
     /** The monotonic time in nanoseconds until which they may. */
     private long additionalUntil;
 
+    /** The mean of all configured rates per second; 1 if there are none. */
+    private double meanRate = 1;
+
     /** The fraction of each limit that this instance may admit. */
     private double fraction = 1;
 
@@ -71,19 +74,17 @@
         limits.keySet().retainAll(limitedTeams);
         buckets.keySet().retainAll(limitedTeams);
         additional.keySet().retainAll(limitedTeams);
+        meanRate = limits.values().stream()
+                .mapToDouble(RateLimit::perSecond)
+                .average()
+                .orElse(1);
         apply(now);
     }
 
     /** Returns the configured rate of a team per second, or the mean of all rates, or 1, if it has no limit. */
     double rate(String team) {
         RateLimit limit = limits.get(team);
-        if (limit != null) {
-            return limit.perSecond();
-        }
-        return limits.values().stream()
-                .mapToDouble(RateLimit::perSecond)
-                .average()
-                .orElse(1);
+        return limit == null ? meanRate : limit.perSecond();
     }
 
     /** Returns whether any team has a limit. */
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/target/TargetPace.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/target/TargetPace.java
@@ -83,6 +83,16 @@
         return new TargetPace(true, INITIAL_REQUESTS, now);
     }
 
+    /**
+     * Ends the limit of a target whose answers others may have seen meanwhile. A pause that has begun still lasts to
+     * its end.
+     */
+    public void reset() {
+        full = true;
+        failedAttempts = 0;
+        answers = 0;
+    }
+
     /** Returns whether the pace does not limit the target. */
     public boolean full() {
         return full;
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/target/VirtualTimes.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/target/VirtualTimes.java
@@ -79,6 +79,27 @@
         now = Math.max(now, start);
     }
 
+    /**
+     * Records that any request of a flow is not served: the next requests of the flow start earlier by its cost.
+     *
+     * @param flow The flow.
+     * @param cost The cost with which the request was added.
+     */
+    public void regained(K flow, double cost) {
+        lastFinishes.computeIfPresent(flow, (name, finish) -> finish - cost);
+    }
+
+    /**
+     * Changes the weight of a flow. What it has been charged beyond the present virtual time is charged at the new
+     * weight.
+     *
+     * @param flow The flow.
+     * @param factor The new cost of a request relative to the old one.
+     */
+    public void rescaled(K flow, double factor) {
+        lastFinishes.computeIfPresent(flow, (name, finish) -> finish <= now ? finish : now + factor * (finish - now));
+    }
+
     /**
      * Records that a request is not served. If it was the last one of its flow, the flow regains its virtual time.
      *
