Count bad answers of other dispatchers beside the own ones

A dispatcher took the larger of its own count and the number in the row. One that succeeded after 40 bad answers needed 50 further ones of its own before the limit took effect, and two dispatchers hid each other's counts.

What the row names beyond the own count is now added to it; a row that this instance wrote changes nothing. RolloutTest#addsItsBadAnswersToThoseOfALostDispatcher saw 40 instead of 49 and 50 before; RolloutTest passes, 26 tests.

--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/rollout/Rollout.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/rollout/Rollout.java
@@ -109,8 +109,8 @@
 
     private long newBad;
 
-    /** The number of bad answers that another dispatcher counted. */
-    private long badFloor;
+    /** The number of bad answers that other dispatchers counted and this one did not. */
+    private long badElsewhere;
 
     /** The time at which the 50th bad answer was known. */
     private @Nullable Long manyBadSince;
@@ -196,12 +196,13 @@
      * Adopts what another instance stated of the roll-out.
      *
      * @param elapsed The time since the order; the larger one counts.
-     * @param badAnswers The number of bad answers of the new version; the larger one counts.
+     * @param badAnswers The number of bad answers of the new version that it knew of, which may include those counted
+     *     here; what exceeds them is added to those counted here from now on.
      * @param now The current monotonic time in nanoseconds.
      */
     public synchronized void adoptProgress(Duration elapsed, long badAnswers, long now) {
         orderedAt = Math.min(orderedAt, now - elapsed.toNanos());
-        badFloor = Math.max(badFloor, badAnswers);
+        badElsewhere = Math.max(badElsewhere, badAnswers - newBad);
         noteBadAnswers(now);
     }
 
@@ -317,7 +318,7 @@
     }
 
     private void noteBadAnswers(long now) {
-        if (manyBadSince == null && Math.max(newBad, badFloor) >= BAD_ANSWERS) {
+        if (manyBadSince == null && newBad + badElsewhere >= BAD_ANSWERS) {
             manyBadSince = now;
         }
     }
@@ -477,7 +478,7 @@
                 against,
                 newPlaced,
                 oldPlaced,
-                Math.max(newBad, badFloor),
+                newBad + badElsewhere,
                 newPlaced / (double) Math.max(1, newPlaced + oldPlaced));
     }
 }
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/rollout/RolloutEvidence.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/rollout/RolloutEvidence.java
@@ -11,7 +11,8 @@
  * @param logLikelihood The log-likelihood ratio of the test over all routes; above 0 speaks against the new version.
  * @param newRequests The number of requests that were placed at targets of the new version.
  * @param oldRequests The number of requests that were placed at other targets.
- * @param newBad The number of bad answers of the new version, at least the number adopted from an earlier dispatcher.
+ * @param newBad The number of bad answers of the new version, including those that other
+ *     dispatchers counted.
  * @param share The share of requests that the new version got, from 0 to 1.
  */
 public record RolloutEvidence(
--- a/tanagermoor-policy/src/test/java/org/tanagermoor/policy/rollout/RolloutTest.java
+++ b/tanagermoor-policy/src/test/java/org/tanagermoor/policy/rollout/RolloutTest.java
@@ -58,6 +58,24 @@
         assertThat(rollout.offerNew("route", seconds(1 + afterSeconds)), is(offered));
     }
 
+    /** The limit on bad answers must count those that a lost dispatcher saw and those that came after it together. */
+    @ParameterizedTest
+    @ValueSource(ints = {9, 10})
+    void addsItsBadAnswersToThoseOfALostDispatcher(int bad) {
+        place(2_000);
+        rollout.adoptProgress(Duration.ZERO, 40, seconds(1));
+        for (int run = 0; run < 5; run++) {
+            rollout.ended(new RunReport("route", false, "old", true, 0, 0), seconds(1));
+        }
+        for (int run = 0; run < bad; run++) {
+            rollout.ended(new RunReport("route", true, "new-" + run % 3, true, 0, 0), seconds(1));
+        }
+        assertThat(rollout.evidence(seconds(1)).newBad(), is(40L + bad));
+        // The row that this instance wrote itself comes back and must not be counted again.
+        rollout.adoptProgress(Duration.ZERO, 40L + bad, seconds(1));
+        assertThat(rollout.evidence(seconds(1)).newBad(), is(40L + bad));
+    }
+
     /** Old targets must not be stopped while anything may still be on its way to one. */
     @ParameterizedTest
     @CsvSource({
