Offer nothing to a new version after a pause until the state is checked

An instance that was frozen while it decided offered requests by the state it had checked before, until its next check, although another instance may have rolled the version back.

In the canary phase the last check must not be older than 1 s, four intervals of the check.

--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/rollout/Rollout.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/rollout/Rollout.java
@@ -74,6 +74,12 @@
     /** The part of the bound on the requests to a bad version at which the evidence must favour the version. */
     private static final double EXPOSURE_CHECK = 0.75;
 
+    /**
+     * The time without a check from which the state counts as unknown, in nanoseconds: four of the intervals at which
+     * an instance checks it. A longer pause means that the instance was frozen.
+     */
+    private static final long CHECK_NANOS = Duration.ofSeconds(1).toNanos();
+
     private static final int MIN_ACTIVE = 2;
 
     private static final long MIN_ROTATION_NANOS = Duration.ofSeconds(1).toNanos();
@@ -126,6 +132,9 @@
 
     private boolean stateFresh = true;
 
+    /** The time of the last decision, which tells whether the state is fresh; {@code null} before the first. */
+    private @Nullable Long checkedAt;
+
     private int oldPlacesInUse;
 
     private int oldTargets;
@@ -228,13 +237,18 @@
         }
         return switch (phase) {
             case RolloutPhase.Canary canary ->
-                stateFresh && credit() >= 1 && inBurst && comparison.wants(route, newPlaced) && !isHeld(now);
+                isCurrent(now) && credit() >= 1 && inBurst && comparison.wants(route, newPlaced) && !isHeld(now);
             case RolloutPhase.Moving moving -> true;
             case RolloutPhase.Completed completed -> true;
             case RolloutPhase.RolledBack rolledBack -> false;
         };
     }
 
+    /** Returns whether the state was fresh when it was last checked, and this was not before a pause. */
+    private boolean isCurrent(long now) {
+        return stateFresh && (checkedAt == null || now - checkedAt <= CHECK_NANOS);
+    }
+
     /** Returns the number of requests that the share would allow now, with the next one. */
     private double credit() {
         return share() * (oldPlaced + newPlaced + 1) - newPlaced;
@@ -383,6 +397,7 @@
      */
     public synchronized Optional<RolloutPhase> decide(RolloutView view, long now) {
         stateFresh = view.stateFresh();
+        checkedAt = now;
         oldPlacesInUse = view.oldPlacesInUse();
         if (phase.isFinal()) {
             return Optional.empty();
--- a/tanagermoor-policy/src/test/java/org/tanagermoor/policy/rollout/RolloutTest.java
+++ b/tanagermoor-policy/src/test/java/org/tanagermoor/policy/rollout/RolloutTest.java
@@ -76,6 +76,17 @@
         assertThat(rollout.evidence(seconds(1)).newBad(), is(40L + bad));
     }
 
+    /** A dispatcher that was frozen must not offer requests by a state that was current before. */
+    @ParameterizedTest
+    @CsvSource({"1.9, true", "2.5, false", "20, false"})
+    void offersNothingAfterAPauseBeforeTheStateIsChecked(double at, boolean offered) {
+        place(100);
+        rollout.decide(new RolloutView(100, 10, 10, true, true), seconds(1));
+        assertThat(rollout.offerNew("route", seconds(at)), is(offered));
+        rollout.decide(new RolloutView(100, 10, 10, true, true), seconds(at));
+        assertThat(rollout.offerNew("route", seconds(at)), is(true));
+    }
+
     /** Old targets must not be stopped while anything may still be on its way to one. */
     @ParameterizedTest
     @CsvSource({
