Keep unreceived grants, empty lists of replaced versions and services without old targets (not tested)

Five mends of faults whose tests failed before: RolloutPlacementTest#usesAnotherVersionAfterACompletionThatReplacedNone, #countsAGrantThatHasNotReachedItsHolder, RolloutsTest#completesAnOrderToTheVersionInUseOnceAllInstancesHaveReported, #completesAnOrderToAVersionThatReplacedAnotherWithoutAnOrder, #usesAWithheldVersionWhenNoOtherTargetIsLeft. Its tests were not run after the change.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/FleetState.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/FleetState.java
@@ -201,9 +201,14 @@
                 .collect(Collectors.toUnmodifiableSet());
     }
 
-    /** Returns the versions that targets of a service have had since the start of this instance. */
-    public Set<String> pastVersions(String service) {
-        return versions.past(service);
+    /**
+     * Returns the versions that targets of a service have or had recently.
+     *
+     * @param service The name of the service.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    public Set<String> recentVersions(String service, long now) {
+        return versions.recent(service, now);
     }
 
     /**
@@ -302,20 +307,34 @@
             });
             onChange.run();
         }
+        if (rollouts) {
+            targets.values().forEach(target -> versions.present(target, now));
+        }
         if (release(now)) {
             onChange.run();
         }
     }
 
-    /** Lets targets get requests whose version is no longer withheld; returns whether there are any. */
+    /**
+     * Lets targets get requests whose version is no longer withheld, or whose service has no other target that may get
+     * requests; returns whether there are any. In a roll-out the old targets stay until its end, so that a version
+     * whose service has no other one replaces it without an order.
+     */
     private boolean release(long now) {
-        return !withheld.isEmpty()
-                && withheld.removeIf(id -> {
-                    TargetEntry target = targets.get(id);
-                    return target == null
-                            || ordered(target)
-                            || !versions.withheld(target.service(), target.version(), now);
-                });
+        if (withheld.isEmpty()) {
+            return false;
+        }
+        Set<String> served = targets.values().stream()
+                .filter(this::usable)
+                .map(TargetEntry::service)
+                .collect(Collectors.toUnmodifiableSet());
+        return withheld.removeIf(id -> {
+            TargetEntry target = targets.get(id);
+            return target == null
+                    || ordered(target)
+                    || !served.contains(target.service())
+                    || !versions.withheld(target.service(), target.version(), now);
+        });
     }
 
     /** Returns whether an order for a roll-out to the version of a target is known. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -36,9 +36,6 @@
     /** The same for an item of a job, whose holder repeats the ask once a second. */
     private static final long BATCH_ASK_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-    /** The age from which a permit that its holder does not report is revoked, in nanoseconds: two round trips. */
-    private static final long RESYNC_NANOS = TimeUnit.SECONDS.toNanos(1);
-
     /** The minimum time after which a refused caller is told to come back, in milliseconds. */
     private static final long MIN_RETRY_MILLIS = 50;
 
@@ -146,7 +143,7 @@
      * @param versions The versions by the name of the service.
      */
     public void replacedVersions(Map<String, Set<String>> versions) {
-        services.forEach((name, queue) -> queue.rollout().recorded(versions.getOrDefault(name, Set.of())));
+        services.forEach((name, queue) -> queue.rollout().recorded(Optional.ofNullable(versions.get(name))));
     }
 
     /** Returns whether the traffic of any service is moving to another version. */
@@ -288,7 +285,8 @@
         Set<Long> reported = new HashSet<>();
         permits.forEach(permit -> reported.add(permit.permit()));
         for (Grant place : List.copyOf(known.values())) {
-            if (!reported.contains(place.permit) && now - place.grantedAt > RESYNC_NANOS) {
+            if (!reported.contains(place.permit)
+                    && !place.recent(queue(place.service).rollout().running(), now)) {
                 queue(place.service).rollout().lost(place, now);
                 release(holder, place.permit, PlaceOutcome.UNUSED, now);
             }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Grant.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Grant.java
@@ -1,5 +1,6 @@
 package org.tanagermoor.gateway.dispatch;
 
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.tanagermoor.policy.prompt.Prompt;
 import org.tanagermoor.policy.rollout.Rollout;
@@ -7,6 +8,16 @@
 /** A granted place that is in use. */
 final class Grant {
 
+    /** The age from which a permit that its holder does not report is revoked, in nanoseconds: two round trips. */
+    private static final long RESYNC_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /**
+     * The same for an item of a job during a roll-out, in nanoseconds: above the 1.5 s for which its holder waits for
+     * the answer to an ask, and a delay of the report. A place at an old target that is freed earlier would not hold up
+     * the completion although the item may still be sent there.
+     */
+    private static final long ROLLOUT_BATCH_RESYNC_NANOS = TimeUnit.SECONDS.toNanos(3);
+
     final String holder;
 
     final long permit;
@@ -64,6 +75,16 @@
         sentAt = grantedAt - place.heldNanos();
     }
 
+    /**
+     * Returns whether the grant is so recent that its holder may not have received it.
+     *
+     * @param rollingOut Whether a roll-out of the service runs.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    boolean recent(boolean rollingOut, long now) {
+        return now - grantedAt <= (batch && rollingOut ? ROLLOUT_BATCH_RESYNC_NANOS : RESYNC_NANOS);
+    }
+
     /**
      * Returns whether a recall costs the caller of this item less than a recall of the other item costs its caller.
      */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/RolloutPlacement.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/RolloutPlacement.java
@@ -39,8 +39,8 @@
     @Nullable
     private Rollout rollout;
 
-    /** The versions that the row of the roll-out names as replaced; empty if they are not known from it. */
-    private Set<String> recordedVersions = Set.of();
+    /** The versions that the row of the roll-out names as replaced; empty if there is no such row. */
+    private Optional<Set<String>> recordedVersions = Optional.empty();
 
     /** The versions that were replaced when this dispatcher saw the completion; {@code null} before. */
     @Nullable
@@ -77,9 +77,9 @@
         targetsChanged();
     }
 
-    /** Sets the versions that the row of the roll-out names as replaced. */
-    void recorded(Set<String> versions) {
-        recordedVersions = Set.copyOf(versions);
+    /** Sets the versions that the row of the roll-out names as replaced; empty if there is no such row. */
+    void recorded(Optional<Set<String>> versions) {
+        recordedVersions = versions.map(Set::copyOf);
     }
 
     /** Drops the rules of a former roll-out for versions of which no target is left. */
@@ -326,8 +326,8 @@
 
     /** Returns the versions that a completed roll-out has replaced. */
     private Set<String> replaced() {
-        if (!recordedVersions.isEmpty()) {
-            return recordedVersions;
+        if (recordedVersions.isPresent()) {
+            return recordedVersions.get();
         }
         if (replacedVersions == null) {
             Set<String> versions = versions();
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/fleet/VersionGate.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/fleet/VersionGate.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * Tells which versions of a service must get no requests: those that a roll-out excludes, and those that have just
@@ -21,6 +22,12 @@
     /** The time for which a version is withheld at most, in nanoseconds; a later order is not waited for. */
     private static final long WITHHELD_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+    /**
+     * The time for which a version counts after its last target has gone, in nanoseconds: targets that fail at the same
+     * time are back before.
+     */
+    private static final long REMEMBERED_NANOS = TimeUnit.SECONDS.toNanos(30);
+
     /** The monotonic time in nanoseconds since which a target is known, by the identity of the target. */
     private final Map<String, Long> knownSince = new HashMap<>();
 
@@ -30,6 +37,9 @@
      */
     private final Map<String, Map<String, Long>> versions = new HashMap<>();
 
+    /** The monotonic time in nanoseconds at which each version last had a target, by service. */
+    private final Map<String, Map<String, Long>> lastKnown = new HashMap<>();
+
     /** The versions that get no requests, by service. */
     private Map<String, Set<String>> excluded = Map.of();
 
@@ -51,6 +61,7 @@
      */
     public boolean registered(TargetEntry target, Collection<TargetEntry> others, boolean ordered, long now) {
         knownSince.putIfAbsent(target.id(), now);
+        present(target, now);
         Map<String, Long> known = versions.computeIfAbsent(target.service(), name -> new HashMap<>());
         if (known.containsKey(target.version())) {
             return false;
@@ -64,6 +75,16 @@
         return withheld;
     }
 
+    /**
+     * Records that a target is known.
+     *
+     * @param target The target.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    public void present(TargetEntry target, long now) {
+        lastKnown.computeIfAbsent(target.service(), name -> new HashMap<>()).put(target.version(), now);
+    }
+
     /** Records that the entry of a target was removed. */
     public void removed(String id) {
         knownSince.remove(id);
@@ -92,9 +113,17 @@
         return now - knownSince.getOrDefault(id, now) >= ESTABLISHED_NANOS;
     }
 
-    /** Returns the versions that targets of a service have had. */
-    public Set<String> past(String service) {
-        return Set.copyOf(versions.getOrDefault(service, Map.of()).keySet());
+    /**
+     * Returns the versions that targets of a service have or had recently.
+     *
+     * @param service The name of the service.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    public Set<String> recent(String service, long now) {
+        return lastKnown.getOrDefault(service, Map.of()).entrySet().stream()
+                .filter(entry -> now - entry.getValue() <= REMEMBERED_NANOS)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
     }
 
     /** Returns whether a roll-out excludes a target of a version. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/rollout/Rollouts.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/rollout/Rollouts.java
@@ -257,7 +257,8 @@
         if (withdrawn(run)) {
             next = Optional.of(new RolloutPhase.RolledBack("the order was withdrawn"));
         }
-        if (next.isEmpty() && evidence.newRequests() == 0 && view.oldPlacesInUse() == 0 && nothingToMove(run, now)) {
+        boolean unused = evidence.newRequests() == 0 && view.oldPlacesInUse() == 0 && view.allReported();
+        if (next.isEmpty() && unused && nothingToMove(run, now)) {
             next = Optional.of(new RolloutPhase.Completed());
         }
         if (next.isPresent()) {
@@ -305,14 +306,14 @@
     }
 
     /**
-     * Returns whether no other version than the ordered one has served the service, apart from versions that an earlier
-     * order has replaced. There is nothing to compare it with then, and to wait for a verdict until the deadline would
-     * end in a roll-back that leaves the service without a target.
+     * Returns whether no other version than the ordered one has recently served the service, apart from versions that
+     * an earlier order has replaced. There is nothing to compare it with then, and to wait for a verdict until the
+     * deadline would end in a roll-back that leaves the service without a target.
      */
     private boolean nothingToMove(RolloutRun run, long now) {
         String service = run.order().service();
         Set<String> only = Set.of(run.order().version());
-        Set<String> had = new HashSet<>(fleet.pastVersions(service));
+        Set<String> had = new HashSet<>(fleet.recentVersions(service, now));
         had.removeAll(carried(run));
         return run.phase() instanceof RolloutPhase.Canary
                 && had.equals(only)
@@ -380,7 +381,8 @@
         runs.forEach((service, run) -> {
             rollouts.put(service, run.rollout());
             if (run.phase() instanceof RolloutPhase.Completed) {
-                replaced.put(service, carried(run));
+                known(run)
+                        .ifPresent(entry -> replaced.put(service, entry.state().replaced()));
             }
             Set<String> versions = new HashSet<>(carried(run));
             if (run.phase() instanceof RolloutPhase.RolledBack) {
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/RolloutPlacementTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/RolloutPlacementTest.java
@@ -95,6 +95,32 @@
         assertThat(Set.copyOf(takeTargets(20)), is(Set.of("v2-c", "v3-e")));
     }
 
+    /** A completion that replaced no version must not exclude one that came without an order before it was seen. */
+    @Test
+    void usesAnotherVersionAfterACompletionThatReplacedNone() {
+        useTargets(next("c"), target("e", "v3"));
+        rollout.adopt(new RolloutPhase.Completed(), now);
+        dispatcher.replacedVersions(Map.of(SERVICE, Set.of()));
+        dispatcher.tick(now);
+        assertThat(Set.copyOf(takeTargets(20)), is(Set.of("v2-c", "v3-e")));
+    }
+
+    /**
+     * A place at an old target that was granted to an item must hold up the completion while its holder may still
+     * receive the grant: a report that was made before names no such place.
+     */
+    @Test
+    void countsAGrantThatHasNotReachedItsHolder() {
+        dispatcher.ask(routed("x", 1, true), now);
+        rollout.adopt(new RolloutPhase.Moving(), now);
+        advance(1_450);
+        dispatcher.resync("x", List.of(), now);
+        assertThat(dispatcher.rolloutPlaces(SERVICE, now).oldPlacesInUse(), is(1));
+        advance(2_000);
+        dispatcher.resync("x", List.of(), now);
+        assertThat(dispatcher.rolloutPlaces(SERVICE, now).oldPlacesInUse(), is(0));
+    }
+
     /**
      * After the order of an ended roll-out was removed, its excluded version is not used while there are targets of it,
      * and may come back afterwards. An order that is removed in the middle counts as rolled back.
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/rollout/RolloutsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/rollout/RolloutsTest.java
@@ -410,6 +410,48 @@
         assertThat(usable(0), is(Set.of("old-1", "old-2")));
     }
 
+    /** A place in use may be at an old target that is not known any more, so that no instance may be unheard. */
+    @Test
+    void completesAnOrderToTheVersionInUseOnceAllInstancesHaveReported() {
+        first().places(new RolloutView(4, 2, 0, false, true));
+        store.put("op", "rollout/" + SERVICE, "v1 20");
+        ticks(2 * SETTLE_TICKS);
+        assertThat(status(), is("running v1"));
+        first().places(new RolloutView(4, 2, 0, true, true));
+        ticks(2 * SETTLE_TICKS);
+        assertThat(status(), is("completed v1"));
+    }
+
+    /**
+     * An order to the version in use must not leave the service without a target because another version, which was
+     * replaced without an order, served it before.
+     */
+    @Test
+    void completesAnOrderToAVersionThatReplacedAnotherWithoutAnOrder() {
+        store.put("targets", "new-1", SERVICE + " v2");
+        ticks(5 * TICKS_PER_SECOND);
+        store.put("targets", "old-1", "");
+        store.put("targets", "old-2", "");
+        ticks(60 * TICKS_PER_SECOND);
+        first().places(new RolloutView(4, 2, 0, true, true));
+        store.put("op", "rollout/" + SERVICE, "v2 20");
+        ticks(2 * SETTLE_TICKS);
+        assertThat(status(), is("completed v2"));
+        assertThat(usable(0), is(Set.of("new-1")));
+    }
+
+    /** A new version is not withheld when it has the only targets of its service: it cannot be part of a roll-out. */
+    @Test
+    void usesAWithheldVersionWhenNoOtherTargetIsLeft() {
+        store.put("targets", "old-2", "");
+        store.put("targets", "new-1", SERVICE + " v2");
+        ticks(1);
+        assertThat(usable(0), is(Set.of("old-1")));
+        store.put("targets", "old-1", "");
+        ticks(1);
+        assertThat(usable(0), is(Set.of("new-1")));
+    }
+
     /** The decision gets what the dispatcher sees, on which the completion depends. */
     @Test
     void passesTheUseOfPlacesOn() {
