--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -10,12 +10,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.policy.prompt.Prompt;
 import org.tanagermoor.policy.quarantine.Crash;
 import org.tanagermoor.policy.quarantine.Quarantine;
 import org.tanagermoor.policy.quarantine.QuarantineEntry;
+import org.tanagermoor.policy.rollout.Rollout;
 
 /**
  * Decides which ask gets a place at which target. Engines admit requests in the order of arrival and without
@@ -112,7 +114,47 @@
         services.forEach((name, queue) -> queue.places()
                 .keySet()
                 .removeIf(id -> !current.getOrDefault(name, Set.of()).contains(id)));
-        services.values().forEach(queue -> drain(queue, now));
+        services.values().forEach(queue -> {
+            queue.rollout().targetsChanged();
+            drain(queue, now);
+        });
+    }
+
+    /**
+     * Replaces the roll-outs. The rules of an ended one hold until it is replaced, and afterwards while there are
+     * targets of the versions that it excludes.
+     *
+     * @param rollouts The roll-outs by the name of the service, including ended ones whose order is not removed.
+     */
+    public void rollouts(Map<String, Rollout> rollouts) {
+        rollouts.keySet().forEach(this::queue);
+        services.forEach((name, queue) -> queue.rollout().update(rollouts.get(name)));
+    }
+
+    /**
+     * Sets the versions that completed roll-outs have replaced. For a service without any, they are those of the
+     * targets that are known when the completion is first seen.
+     *
+     * @param versions The versions by the name of the service.
+     */
+    public void replacedVersions(Map<String, Set<String>> versions) {
+        services.forEach((name, queue) -> queue.rollout().recorded(versions.getOrDefault(name, Set.of())));
+    }
+
+    /** Returns whether the traffic of any service is moving to another version. */
+    public boolean hasRollouts() {
+        return services.values().stream().anyMatch(queue -> queue.rollout().running());
+    }
+
+    /**
+     * Returns the numbers of places on which the next phase of a roll-out depends.
+     *
+     * @param service The name of the service.
+     * @param now The current monotonic time in nanoseconds.
+     * @return The numbers.
+     */
+    public RolloutPlaces rolloutPlaces(String service, long now) {
+        return queue(service).rollout().count(grants(service), now);
     }
 
     /**
@@ -148,7 +190,7 @@
             return Optional.of(new PlacementDecision.Granted(current.target));
         }
         ServiceQueue queue = queue(ask.service());
-        Optional<ServiceQueue.Waiting> waiting = find(queue, ask);
+        Optional<ServiceQueue.Waiting> waiting = queue.find(ask);
         if (waiting.isPresent()) {
             waiting.get().refresh(now);
             return Optional.empty();
@@ -166,26 +208,30 @@
         return place(queue, ask, now);
     }
 
+    /** Returns a permit, or removes an ask from the queue, when it is unknown how the target answered. */
+    public void release(String holder, long permit, PlaceOutcome outcome, long now) {
+        release(holder, permit, outcome, RunAnswer.NONE, now);
+    }
+
     /**
      * Returns a permit and frees its place, or removes an ask from the queue.
      *
      * @param holder The instance that held the permit.
      * @param permit The number of the permit.
      * @param outcome How the use of the place ended.
+     * @param answer How the target answered.
      * @param now The current monotonic time in nanoseconds.
      */
-    public void release(String holder, long permit, PlaceOutcome outcome, long now) {
+    public void release(String holder, long permit, PlaceOutcome outcome, RunAnswer answer, long now) {
         Map<Long, Grant> permits = occupied.get(holder);
         Grant place = permits == null ? null : permits.remove(permit);
         if (place == null) {
-            services.values().forEach(queue -> {
-                queue.online().removeIf(waiting -> matches(waiting.ask(), holder, permit));
-                queue.batch().removeIf(waiting -> matches(waiting.ask(), holder, permit));
-            });
+            services.values().forEach(queue -> queue.remove(holder, permit));
             return;
         }
         recalled.remove(place);
         ServiceQueue queue = queue(place.service);
+        queue.rollout().ended(place, outcome, answer, now);
         TargetPlaces target = queue.places().get(place.target);
         if (target != null) {
             target.release(place.batch, outcome, now);
@@ -224,14 +270,17 @@
         permits.forEach(permit -> reported.add(permit.permit()));
         for (Grant place : List.copyOf(known.values())) {
             if (!reported.contains(place.permit) && now - place.grantedAt > RESYNC_NANOS) {
+                queue(place.service).rollout().lost(place, now);
                 release(holder, place.permit, PlaceOutcome.UNUSED, now);
             }
         }
         for (OccupiedPlace permit : permits) {
             if (!known.containsKey(permit.permit())) {
-                known.put(permit.permit(), new Grant(holder, permit, "", now));
+                Grant grant = new Grant(holder, permit, "", now);
+                known.put(permit.permit(), grant);
                 TargetPlaces place = queue(permit.service()).places().get(permit.target());
                 if (place != null) {
+                    grant.version = place.entry().version();
                     place.count(permit.batch(), 1);
                 }
             }
@@ -261,6 +310,7 @@
         }
         permits.values().forEach(place -> {
             recalled.remove(place);
+            queue(place.service).rollout().lost(place, now);
             TargetPlaces target = queue(place.service).places().get(place.target);
             if (target != null) {
                 target.release(place.batch, PlaceOutcome.UNUSED, now);
@@ -279,14 +329,15 @@
      * @param now The current monotonic time in nanoseconds.
      */
     public void tick(long now) {
-        for (ServiceQueue queue : services.values()) {
+        services.forEach((name, queue) -> {
             queue.observe(now);
+            recallExcluded(name, queue, now);
             refuseHeldBack(queue.online(), now);
             refuseHeldBack(queue.batch(), now);
             expire(queue, queue.online(), now);
             expire(queue, queue.batch(), now);
             drain(queue, now);
-        }
+        });
     }
 
     /**
@@ -318,18 +369,18 @@
 
     /** Grants a place to a new ask, or queues or refuses it. */
     private Optional<PlacementDecision> place(ServiceQueue queue, Ask ask, long now) {
-        if (!queue.hasTargets() && !ask.batch()) {
+        if (!queue.hasTargets(now) && !ask.batch()) {
             return refused(PlacementDecision.Reason.NO_TARGET, NO_TARGET_RETRY_MILLIS);
         }
         boolean noneAhead = ask.batch()
                 ? !batchPaused && queue.batch().isEmpty() && queue.online().isEmpty()
-                : !contended(queue, now);
+                : !queue.contended(now);
         Optional<TargetPlaces> place = noneAhead ? queue.choose(ask, now) : Optional.empty();
         if (place.isPresent()) {
             return Optional.of(grant(queue, ask, place.get(), ask.onTimeNanos(), now));
         }
         if (!ask.batch()) {
-            double wait = expectedWait(queue, now);
+            double wait = queue.expectedWait(now);
             if (wait > ServiceQueue.maxWait(ask)) {
                 return refused(PlacementDecision.Reason.OVERLOADED, millis(wait));
             }
@@ -341,25 +392,6 @@
         return Optional.empty();
     }
 
-    /** Returns whether an online request that can still be on time is already queued. */
-    private static boolean contended(ServiceQueue queue, long now) {
-        return queue.online().stream().anyMatch(waiting -> waiting.onTime(now));
-    }
-
-    /**
-     * Returns the time that a new online request is expected to wait, in nanoseconds: behind those that can be on time,
-     * while places are returned one after the other. Items of jobs return their places within {@link
-     * ServiceQueue#RECALL_NANOS}.
-     */
-    private double expectedWait(ServiceQueue queue, long now) {
-        long before =
-                queue.online().stream().filter(waiting -> waiting.onTime(now)).count();
-        long position = before + 1 - queue.batchPlaces();
-        return position <= 0
-                ? ServiceQueue.RECALL_NANOS
-                : position * queue.occupancyNanos() / (queue.usablePlaces(now) + 1);
-    }
-
     /**
      * Grants free places. A place that is returned in the course of it does not call this again, but lets it run once
      * more: the depth of the calls must not grow with the number of asks.
@@ -435,18 +467,20 @@
                 expired.add(next);
             }
         }
-        long retry = millis(expectedWait(queue, now));
+        long retry = millis(queue.expectedWait(now));
         expired.forEach(next ->
                 sink.decided(next.ask(), new PlacementDecision.Refused(PlacementDecision.Reason.OVERLOADED, retry)));
     }
 
     /** Recalls the item of a job for whose caller the loss is smallest. */
     private void recallOne(ServiceQueue queue, long now) {
+        Predicate<Grant> excluded = queue.rollout().excluded(now);
         Grant best = null;
         for (Map<Long, Grant> permits : occupied.values()) {
             for (Grant place : permits.values()) {
                 if (place.batch
                         && queue.places().containsKey(place.target)
+                        && !excluded.test(place)
                         && !recalled.contains(place)
                         && (best == null || place.cheaperToRecall(best, queue.headroom(), now))) {
                     best = place;
@@ -459,30 +493,42 @@
         }
     }
 
+    /** Recalls the items of jobs at targets that get no requests any more because of a roll-out. */
+    private void recallExcluded(String service, ServiceQueue queue, long now) {
+        if (queue.rollout().recallDue(now)) {
+            Predicate<Grant> excluded = queue.rollout().excluded(now);
+            for (Grant place : grants(service)) {
+                if (place.batch && excluded.test(place)) {
+                    recalled.add(place);
+                    sink.recall(place.holder, place.permit);
+                }
+            }
+        }
+    }
+
+    /** Returns the granted places of a service. */
+    private List<Grant> grants(String service) {
+        return occupied.values().stream()
+                .flatMap(permits -> permits.values().stream())
+                .filter(place -> place.service.equals(service))
+                .toList();
+    }
+
     private PlacementDecision grant(ServiceQueue queue, Ask ask, TargetPlaces place, long slack, long now) {
         place.take(ask.batch(), now);
         queue.remember(ask, place);
         parts.granted(ask, now);
         OccupiedPlace permit = new OccupiedPlace(
                         ask.permit(), ask.service(), place.entry().id(), ask.batch(), slack, ask.work())
-                .withRun(ask.prompt(), 0);
-        occupied.computeIfAbsent(ask.holder(), holder -> new HashMap<>())
-                .put(ask.permit(), new Grant(ask.holder(), permit, ask.domain(), now));
+                .withRun(ask.prompt(), 0)
+                .withRoute(ask.traits().route());
+        Grant grant = new Grant(ask.holder(), permit, ask.domain(), now);
+        grant.version = place.entry().version();
+        occupied.computeIfAbsent(ask.holder(), holder -> new HashMap<>()).put(ask.permit(), grant);
+        queue.rollout().placed(grant, now);
         return new PlacementDecision.Granted(place.entry().id());
     }
 
-    /** Finds a repeated ask in the queue. */
-    private static Optional<ServiceQueue.Waiting> find(ServiceQueue queue, Ask ask) {
-        return (ask.batch() ? queue.batch() : queue.online())
-                .stream()
-                        .filter(waiting -> matches(waiting.ask(), ask.holder(), ask.permit()))
-                        .findFirst();
-    }
-
-    private static boolean matches(Ask ask, String holder, long permit) {
-        return ask.permit() == permit && ask.holder().equals(holder);
-    }
-
     /** Returns the queue of a service, created when it is first needed. */
     private ServiceQueue queue(String service) {
         return services.computeIfAbsent(service, name -> new ServiceQueue());
@@ -522,6 +568,7 @@
      * @param work The remaining work of an item of a job.
      * @param prompt The parts of the prompt; {@link Prompt#NONE} if they are unknown.
      * @param heldNanos The time since the place was granted, in nanoseconds.
+     * @param route The name of the route; empty if it is unknown.
      */
     public record OccupiedPlace(
             long permit,
@@ -531,16 +578,22 @@
             long slackNanos,
             Work work,
             Prompt prompt,
-            long heldNanos) {
+            long heldNanos,
+            String route) {
 
         /** Creates a place that has just been granted to a request whose prompt is unknown. */
         public OccupiedPlace(long permit, String service, String target, boolean batch, long slackNanos, Work work) {
-            this(permit, service, target, batch, slackNanos, work, Prompt.NONE, 0);
+            this(permit, service, target, batch, slackNanos, work, Prompt.NONE, 0, "");
         }
 
         /** Returns this place with the prompt of the request, and the nanoseconds since it was granted. */
         public OccupiedPlace withRun(Prompt value, long nanos) {
-            return new OccupiedPlace(permit, service, target, batch, slackNanos, work, value, nanos);
+            return new OccupiedPlace(permit, service, target, batch, slackNanos, work, value, nanos, route);
+        }
+
+        /** Returns this place with the name of the route of the request. */
+        public OccupiedPlace withRoute(String value) {
+            return new OccupiedPlace(permit, service, target, batch, slackNanos, work, prompt, heldNanos, value);
         }
     }
 }
