--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
@@ -84,7 +84,8 @@
             evidence.explain(accusation.get());
             onChange.accept(quarantine.hold(
                     accusation.get().mark(),
-                    accusation.get().targets(),
+                    Math.max(
+                            accusation.get().targets(), accusation.get().crashes().size()),
                     accusation.get().evidence(),
                     now));
         }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -12,6 +12,7 @@
 import java.util.stream.Stream;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.policy.target.TargetPace;
+import org.tanagermoor.policy.target.TargetSpeed;
 
 /** The targets of a service and the asks that wait for their places. Not thread-safe. */
 final class ServiceQueue {
@@ -306,7 +307,8 @@
                         !place.entry().domain().equals(ask.domain())))
                 .min(PREFERENCE);
         Optional<TargetPlaces> best = first.map(Candidate::place);
-        double maxLoad = first.map(candidate -> candidate.load() + PROMPT_LOAD).orElse(0.0);
+        double promptLoad = speedReported ? PROMPT_LOAD * TargetSpeed.CONTENTION : PROMPT_LOAD;
+        double maxLoad = first.map(candidate -> candidate.load() + promptLoad).orElse(0.0);
         return remembered(ask)
                 .filter(permitted)
                 .filter(last -> available(last, ask, now) && !last.suspected(ask.domain(), now))
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/target/TargetSpeed.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/target/TargetSpeed.java
@@ -23,7 +23,7 @@
      * How much longer the work of a request takes at a target whose places are all in use than at an idle one. It is
      * small, since engines run the requests of their places in common steps.
      */
-    private static final double CONTENTION = 0.25;
+    public static final double CONTENTION = 0.25;
 
     /**
      * The time in which the last report loses all but a third of its weight against the mean, in nanoseconds: a speed
