--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
@@ -85,7 +85,8 @@
             onChange.accept(quarantine.hold(
                     accusation.get().mark(),
                     Math.max(
-                            accusation.get().targets(), accusation.get().crashes().size()),
+                            accusation.get().targets(),
+                            accusation.get().crashes().size()),
                     accusation.get().evidence(),
                     now));
         }
