Log the waits of items, the trials of parts and jobs that are not run

The logs could not tell whether they were held back, got no place, or had no run at the owner of their job: a hold is logged once, without the trials that follow, nothing says why an ask was refused, and an instance that does not run its job says nothing.

The dispatcher logs the beginning and the end of each trial (TRIAL_STARTED, TRIAL_ENDED) with the part, the holder, the permit and the target; REQUEST_PLACED has the permit. The owner logs an item that has had no run for 5 s and then at doubling intervals (ITEM_WAITING: state, asks, last refusal, excluded targets); of the items that never asked, a job logs one in 5 s. JOB_NOT_RUN names a job that for 2 s should have run at the instance and did not, or whose items were not read. `explain` joins the lines. No decision changes.

--- a/tanagermoor-cli/src/main/java/org/tanagermoor/cli/explain/Conclusion.java
+++ b/tanagermoor-cli/src/main/java/org/tanagermoor/cli/explain/Conclusion.java
@@ -19,7 +19,7 @@
                         && !line.field("job").isEmpty());
         if (item) {
             describeItem(log, result);
-        } else if (!log.of("JOB_ACCEPTED").isEmpty() || !log.of("JOB_REFUSED").isEmpty()) {
+        } else if (isJob(log)) {
             describeJob(log, result);
         } else {
             describeRequest(log, result);
@@ -27,6 +27,13 @@
         return List.copyOf(result);
     }
 
+    /** Returns whether the lines are about a job, although the log of the instance that accepted it may be missing. */
+    private static boolean isJob(RequestLog log) {
+        return !log.of("JOB_ACCEPTED").isEmpty()
+                || !log.of("JOB_REFUSED").isEmpty()
+                || log.lines().stream().anyMatch(line -> line.field("job").equals(log.id()));
+    }
+
     /** Describes an online request from its last event, then its failed attempts and its wait. */
     private static void describeRequest(RequestLog log, List<String> result) {
         LogLine last = log.lines().get(log.lines().size() - 1);
@@ -85,9 +92,53 @@
         if (!runEnds.isEmpty()) {
             result.add("Its runs ended as " + runEnds + ".");
         }
+        describeHold(log, result);
+        describeWait(log, result);
         describeOwners(log, result);
     }
 
+    /** Describes for which parts the item was held back, and the trials of them. */
+    private static void describeHold(RequestLog log, List<String> result) {
+        log.of("ITEM_HELD_BACK").stream()
+                .collect(Collectors.groupingBy(RequestLog::heldPart, TreeMap::new, Collectors.counting()))
+                .forEach((part, count) -> result.add("Held back for " + part + ", times: " + count + "."));
+        List<LogLine> ends = log.of("TRIAL_ENDED");
+        for (LogLine start : log.of("TRIAL_STARTED")) {
+            String end = ends.stream()
+                    .filter(line -> line.field("holder").equals(start.field("holder"))
+                            && line.field("permit").equals(start.field("permit")))
+                    .findFirst()
+                    .map(line -> "ended as " + line.field("outcome") + " after " + line.field("took-ms") + " ms.")
+                    .orElse("has no end in these logs.");
+            result.add("A trial of " + start.field("part") + ", "
+                    + (isOwnTrial(log, start) ? "by this item" : "by another request") + " of " + start.field("holder")
+                    + " at " + start.field("target") + ", " + end);
+        }
+        log.of("PART_RELEASED")
+                .forEach(line -> result.add(line.field("part") + " was released: " + line.field("evidence") + "."));
+    }
+
+    /** Returns whether the item itself was placed with the permit of a trial. */
+    private static boolean isOwnTrial(RequestLog log, LogLine trial) {
+        return log.of("REQUEST_PLACED").stream()
+                .anyMatch(line -> line.field("request").equals(log.id())
+                        && line.field("permit").equals(trial.field("permit"))
+                        && trial.field("holder").startsWith(line.process() + "~"));
+    }
+
+    /** Describes the last long wait of an item, unless it ran or ended afterwards. */
+    private static void describeWait(RequestLog log, List<String> result) {
+        log.lines().stream()
+                .filter(line -> line.field("request").equals(log.id()))
+                .reduce((previous, next) -> next)
+                .filter(line -> line.event().equals("ITEM_WAITING"))
+                .ifPresent(line -> result.add("At the end it had waited " + line.field("waited-ms")
+                        + " ms without a run at " + line.process() + ", which ran its job: " + line.field("state")
+                        + ", asks: " + line.field("asks") + ", the last refusal: "
+                        + (line.field("refusal").isEmpty() ? "none" : line.field("refusal")) + ", excluded targets: "
+                        + (line.field("excluded").isEmpty() ? "none" : line.field("excluded")) + "."));
+    }
+
     private static void describeJob(RequestLog log, List<String> result) {
         log.of("JOB_REFUSED")
                 .forEach(line -> result.add("Refused as " + line.field("kind") + ": " + line.field("detail") + "."));
@@ -106,6 +157,9 @@
         log.of("JOB_TAKEN_OVER")
                 .forEach(line -> result.add(line.process() + " took its job over"
                         + (line.field("from").isEmpty() ? "." : " from " + line.field("from") + ".")));
+        log.of("JOB_NOT_RUN")
+                .forEach(line ->
+                        result.add(line.process() + " should run its job and does not: " + line.field("reason") + "."));
         int failed = log.of("JOB_WRITE_FAILED").size();
         if (failed > 0) {
             result.add("Writes of its job that failed: " + failed + ".");
--- a/tanagermoor-cli/src/main/java/org/tanagermoor/cli/explain/RequestLog.java
+++ b/tanagermoor-cli/src/main/java/org/tanagermoor/cli/explain/RequestLog.java
@@ -3,6 +3,8 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 /**
@@ -20,6 +22,9 @@
     /** The fields that identify the request, item or job that a line is about. */
     private static final List<String> SUBJECT_FIELDS = List.of("request", "job");
 
+    /** The beginning of the detail of a refusal, which names the part that is held back. */
+    private static final Pattern HELD_PART = Pattern.compile("(?:part )?(\\S+)(?: of the prompt)?: ");
+
     /** The events that change what a process knows of targets, other instances, the store or the configuration. */
     private static final Set<String> STATE_CHANGE_EVENTS = Set.of(
             "CONFIGURATION_ADOPTED",
@@ -45,8 +50,14 @@
                 .map(line -> line.field("job"))
                 .filter(job -> !job.isEmpty())
                 .collect(Collectors.toSet());
+        Set<String> parts = directLines.stream()
+                .filter(line -> line.event().equals("ITEM_HELD_BACK"))
+                .map(RequestLog::heldPart)
+                .collect(Collectors.toSet());
         List<LogLine> lines = allLines.stream()
-                .filter(line -> isAbout(line, id) || jobs.stream().anyMatch(job -> isAboutJobItself(line, job)))
+                .filter(line -> isAbout(line, id)
+                        || jobs.stream().anyMatch(job -> isAboutJobItself(line, job))
+                        || isDecisionOn(line, parts))
                 .sorted(LogLine.ORDER)
                 .toList();
         if (lines.isEmpty()) {
@@ -67,6 +78,24 @@
         return SUBJECT_FIELDS.stream().anyMatch(subject -> line.field(subject).equals(id));
     }
 
+    /** Returns the part, or the fingerprint of the request, for which a line says that an item is held back. */
+    static String heldPart(LogLine heldBack) {
+        String detail = heldBack.field("detail");
+        Matcher part = HELD_PART.matcher(detail);
+        return part.lookingAt() ? part.group(1) : detail;
+    }
+
+    /**
+     * Returns whether a line is of the dispatcher that decided on one of the parts, or began or ended a trial of it.
+     * The lines of the other instances, which learn of the decision, say the same.
+     */
+    private static boolean isDecisionOn(LogLine line, Set<String> parts) {
+        boolean decision = line.field("source").equals("decision")
+                || line.event().equals("TRIAL_STARTED")
+                || line.event().equals("TRIAL_ENDED");
+        return decision && List.of(line.field("part").split(",")).stream().anyMatch(parts::contains);
+    }
+
     /** Returns whether a line is about a job and not about one of its items. */
     private static boolean isAboutJobItself(LogLine line, String job) {
         String request = line.field("request");
--- a/tanagermoor-cli/src/test/java/org/tanagermoor/cli/explain/ExplainTest.java
+++ b/tanagermoor-cli/src/test/java/org/tanagermoor/cli/explain/ExplainTest.java
@@ -126,6 +126,28 @@
                                     "200",
                                     "idle-ms",
                                     "100"),
+                    line(5_000, 0, "b", "JOB_ACCEPTED", "request", "j-2", "owner", "b~1"),
+                    line(5_100, 0, "b", "PART_QUARANTINED", "part", "p-1", "source", "decision"),
+                    line(
+                            5_200,
+                            0,
+                            "b",
+                            "ITEM_HELD_BACK",
+                            "request",
+                            "i-3",
+                            "job",
+                            "j-2",
+                            "detail",
+                            "part p-1 of the prompt: 3 targets crashed"),
+                    trial(5_300, "TRIAL_STARTED", "p-1", "b~1", "7", ""),
+                    line(5_301, 0, "b", "REQUEST_PLACED", "request", "i-3", "job", "j-2", "permit", "7"),
+                    trial(5_400, "TRIAL_ENDED", "p-1", "b~1", "7", "CRASHED"),
+                    line(5_401, 0, "b", "ITEM_RUN_ENDED", "request", "i-3", "job", "j-2", "end", "FAILED"),
+                    trial(5_500, "TRIAL_STARTED", "p-1", "b~1", "8", ""),
+                    trial(5_600, "TRIAL_STARTED", "p-2", "b~1", "9", ""),
+                    waiting(10_401, "i-3", "PAUSED", "3", "QUARANTINED: part p-1", "t-1,t-2"),
+                    waiting(10_402, "i-4", "ASKING", "12", "", ""),
+                    line(10_500, 0, "b", "JOB_NOT_RUN", "job", "j-3", "reason", "its take-over has not ended"),
                     "{\"event\":\"LINES_DROPPED\",\"lines\":3}",
                     "{ no object"));
 
@@ -158,6 +180,13 @@
                 "i-1 | Its runs ended as {DONE=1, RECALLED=1}.",
                 "i-1 | b took its job over from a.",
                 "i-2 | It has no result in these logs.",
+                "i-3 | Held back for p-1, times: 1.",
+                "i-3 | A trial of p-1, by this item of b~1 at t-7, ended as CRASHED after 100 ms.",
+                "i-3 | A trial of p-1, by another request of b~1 at t-8, has no end in these logs.",
+                "i-3 | At the end it had waited 5000 ms without a run at b, which ran its job: PAUSED, asks: 3, the last"
+                        + " refusal: QUARANTINED: part p-1, excluded targets: t-1,t-2.",
+                "i-4 | which ran its job: ASKING, asks: 12, the last refusal: none, excluded targets: none.",
+                "j-3 | b should run its job and does not: its take-over has not ended.",
                 "j-1 | Writes of its job that failed: 1."
             })
     void explainsTheOutcome(String id, String sentence) {
@@ -192,6 +221,13 @@
         assertThat(out.toString(StandardCharsets.UTF_8), not(containsString("r-2")));
     }
 
+    @ParameterizedTest
+    @CsvSource({"i-3, t-9", "i-4, TRIAL_STARTED", "i-4, PART_QUARANTINED"})
+    void leavesOutTrialsOfOtherParts(String id, String other) {
+        explain(id);
+        assertThat(out.toString(StandardCharsets.UTF_8), not(containsString(other)));
+    }
+
     @Test
     void printsJson() {
         assertThat(run(List.of("--json", "explain", "r-1", directory + "/log-0")), is(ExitCode.DONE));
@@ -241,6 +277,50 @@
                         new PrintStream(err, true, StandardCharsets.UTF_8)));
     }
 
+    /** Returns a line on the trial of a part at the target that has the number of the permit. */
+    private static String trial(long time, String event, String part, String holder, String permit, String outcome) {
+        return line(
+                time,
+                0,
+                "a",
+                event,
+                "part",
+                part,
+                "holder",
+                holder,
+                "permit",
+                permit,
+                "target",
+                "t-" + permit,
+                "outcome",
+                outcome,
+                "took-ms",
+                "100");
+    }
+
+    /** Returns a line on an item of the second job that has waited for 5 s. */
+    private static String waiting(long time, String item, String state, String asks, String refusal, String excluded) {
+        return line(
+                time,
+                0,
+                "b",
+                "ITEM_WAITING",
+                "request",
+                item,
+                "job",
+                "j-2",
+                "state",
+                state,
+                "waited-ms",
+                "5000",
+                "asks",
+                asks,
+                "refusal",
+                refusal,
+                "excluded",
+                excluded);
+    }
+
     private static String line(long time, int order, String process, String event, String... fields) {
         StringBuilder line = new StringBuilder("{\"time\":" + time + ",\"order\":" + order
                 + ",\"level\":\"INFO\",\"process\":\"" + process + "\",\"event\":\"" + event + "\"");
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -272,6 +272,7 @@
         dispatchClient.recallHandler(jobs::recall);
         dispatchClient.leavingTargets(fleet::leaving);
         dispatchServer.quarantineHandler(quarantine::publish);
+        dispatchServer.trialHandler(quarantine::record);
         quarantine.start(gossip::broadcast);
         dispatchServer.leavingHandler(target -> fleet.leaving(target.getId(), target.getStartedMillis()));
         operatorTable.start();
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
@@ -145,7 +145,19 @@
     ROLLOUT_ENDED(2246, Level.INFO, "a roll-out ended"),
 
     /** The limit of the requests in progress at a target by its pace began or ended. */
-    TARGET_PACE_CHANGED(2247, Level.INFO, "the limit of a target by its pace began or ended");
+    TARGET_PACE_CHANGED(2247, Level.INFO, "the limit of a target by its pace began or ended"),
+
+    /** The dispatcher granted a place to a request that is held back, to find out whether a target answers it. */
+    TRIAL_STARTED(2248, Level.INFO, "a trial of a part of prompts, or of a request, began"),
+
+    /** The place of a trial was returned. */
+    TRIAL_ENDED(2249, Level.INFO, "a trial of a part of prompts, or of a request, ended"),
+
+    /** An item has not run for long; repeated each time that its wait has doubled. */
+    ITEM_WAITING(2250, Level.INFO, "an item has been waiting for long"),
+
+    /** The table names this instance as the owner of an open job whose items it does not run. */
+    JOB_NOT_RUN(2251, Level.WARNING, "a job of this instance is not run");
 
     private final Entry entry;
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
@@ -99,6 +99,9 @@
     /** Receives the new records of parts of prompts that are held back, tried or released. */
     private Consumer<QuarantineEntry> quarantineHandler = entry -> {};
 
+    /** Receives the beginnings and ends of trials of parts that are held back. */
+    private Consumer<Trial> trialHandler = trial -> {};
+
     private DispatchServer(
             EventLoop loop, PeerLink link, Liveness liveness, TimeSource time, TeamRates rates, Quarantine quarantine) {
         this.loop = loop;
@@ -137,6 +140,11 @@
         quarantineHandler = value;
     }
 
+    /** Sets the handler that receives the beginnings and ends of trials of parts that are held back. */
+    public void trialHandler(Consumer<Trial> value) {
+        trialHandler = value;
+    }
+
     /** Sets the handler that receives the targets that have told another instance that they are leaving. */
     public void leavingHandler(Consumer<LeavingTarget> value) {
         leavingHandler = value;
@@ -290,6 +298,12 @@
         quarantineHandler.accept(entry);
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void trial(Trial trial) {
+        trialHandler.accept(trial);
+    }
+
     /** Handles a message of a client on another instance. */
     private Mono<Either<Failure, byte[]>> handle(InstanceId from, byte[] request) {
         PermitCall call;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchSink.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchSink.java
@@ -13,4 +13,7 @@
 
     /** Called with the new record of a part that is held back, tried or released. */
     void quarantineChanged(QuarantineEntry entry);
+
+    /** Called when a trial of a part that is held back begins or ends, for the log. */
+    default void trial(Trial trial) {}
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -253,6 +253,7 @@
                 queue.occupied(now - place.grantedAt);
             }
         }
+        Trial.report(place, Optional.of(outcome), sink, now);
         parts.ended(place, outcome, now);
         drain(queue, now);
     }
@@ -322,6 +323,7 @@
             return;
         }
         permits.values().forEach(place -> {
+            Trial.report(place, Optional.of(PlaceOutcome.UNUSED), sink, now);
             recalled.remove(place);
             queue(place.service).rollout().lost(place, now);
             TargetPlaces target = queue(place.service).places().get(place.target);
@@ -562,13 +564,14 @@
     private PlacementDecision grant(ServiceQueue queue, Ask ask, TargetPlaces place, long slack, long now) {
         place.take(ask.batch(), now);
         queue.remember(ask, place);
-        parts.granted(ask, now);
         OccupiedPlace permit = new OccupiedPlace(
                         ask.permit(), ask.service(), place.entry().id(), ask.batch(), slack, ask.work())
                 .withRun(ask.prompt(), 0)
                 .withRoute(ask.traits().route());
         Grant grant = new Grant(ask.holder(), permit, ask.domain(), now);
         grant.version = place.entry().version();
+        grant.trialOf = parts.granted(ask, now);
+        Trial.report(grant, Optional.empty(), sink, now);
         occupied.computeIfAbsent(ask.holder(), holder -> new HashMap<>()).put(ask.permit(), grant);
         queue.rollout().placed(grant, now);
         return new PlacementDecision.Granted(place.entry().id());
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Grant.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Grant.java
@@ -1,5 +1,6 @@
 package org.tanagermoor.gateway.dispatch;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.tanagermoor.policy.prompt.Prompt;
@@ -44,6 +45,9 @@
     @Nullable
     Rollout countedBy;
 
+    /** The marks of the prompt that are held back and of which this is a trial; empty if it is none. */
+    List<String> trialOf = List.of();
+
     /** The failure domain of the holder; empty if it is unknown. */
     final String domain;
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
@@ -46,9 +46,15 @@
         };
     }
 
-    /** Records that an ask is granted a place, which is a trial if a part of its prompt is held back. */
-    void granted(Ask ask, long now) {
-        quarantine.beginTrial(ask.prompt(), now).forEach(onChange);
+    /**
+     * Records that an ask is granted a place, which is a trial if a part of its prompt is held back.
+     *
+     * @return The marks of the prompt that are held back.
+     */
+    List<String> granted(Ask ask, long now) {
+        List<QuarantineEntry> entries = quarantine.beginTrial(ask.prompt(), now);
+        entries.forEach(onChange);
+        return entries.stream().map(QuarantineEntry::part).toList();
     }
 
     /** Records how the use of a place ended. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineCall.java
@@ -245,7 +245,7 @@
             return;
         }
         attempts++;
-        log.placed(id, left, now);
+        log.placed(id, permit, left, now);
         accepted = false;
         run = new OnlineRun(context, this, entry, lastEvent);
         meter = RunMeter.of(now);
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineLog.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/edge/OnlineLog.java
@@ -43,10 +43,11 @@
      * Records that the request was sent to a target.
      *
      * @param target The identity of the target.
+     * @param permit The number of the permit.
      * @param leftMillis The time until the deadline, in milliseconds.
      * @param now The current monotonic time in nanoseconds.
      */
-    void placed(String target, long leftMillis, long now) {
+    void placed(String target, long permit, long leftMillis, long now) {
         answer = null;
         context.events()
                 .record(
@@ -55,6 +56,8 @@
                         head.id(),
                         "target",
                         target,
+                        "permit",
+                        permit,
                         "parts",
                         String.join(",", head.prompt().shared()),
                         "own-part",
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemLog.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemLog.java
@@ -3,9 +3,12 @@
 import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.tanagermoor.gateway.GatewayEvent;
+import org.tanagermoor.gateway.dispatch.PlacementDecision;
 import org.tanagermoor.gateway.forward.TargetHead;
 import org.tanagermoor.policy.prompt.Prompt;
 
@@ -15,6 +18,9 @@
  */
 final class ItemLog {
 
+    /** Time without a run after which the wait is logged, in nanoseconds. */
+    private static final long LONG_WAIT_NANOS = TimeUnit.SECONDS.toNanos(5);
+
     private final JobContext context;
 
     private final JobRun job;
@@ -42,6 +48,18 @@
     @Nullable
     private TargetHead answer;
 
+    /** Monotonic time at which the last run ended, or at which this instance began to run the job, in nanoseconds. */
+    private long waitingSince;
+
+    /** Time without a run after which the wait is logged next, in nanoseconds. */
+    private long nextWait = LONG_WAIT_NANOS;
+
+    /** Number of asks for a place since the last run. */
+    private int asks;
+
+    /** Why the last ask, or the last attempt to ask, failed; empty if none has since the last run. */
+    private String refusal = "";
+
     /** Creates a log for an idle item, whose first phase starts at the given monotonic time in nanoseconds. */
     ItemLog(JobContext context, JobRun job, String item, Prompt prompt, long now) {
         this.context = context;
@@ -49,6 +67,63 @@
         this.item = item;
         this.prompt = prompt;
         phaseStartedAt = now;
+        waitingSince = now;
+    }
+
+    /**
+     * Notes why the item got no place.
+     *
+     * @param reason Why the ask was refused, was not even sent, or was granted in vain.
+     * @param detail More about the reason; may be empty.
+     */
+    void refused(PlacementDecision.Reason reason, String detail) {
+        refusal = detail.isEmpty() ? reason.name() : reason + ": " + detail;
+    }
+
+    /**
+     * Records that the item has had no run for long, once at first and again each time that the wait has doubled. Does
+     * nothing if the item is running.
+     *
+     * @param state What the item does instead.
+     * @param excluded The identities of the targets that it excludes.
+     * @param lastEvent The number of the last received event.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    void recordWait(String state, Set<String> excluded, long lastEvent, long now) {
+        if (phase == Phase.RUNNING || now - waitingSince < nextWait) {
+            return;
+        }
+        if (asks == 0 && refusal.isEmpty() && !job.mayRecordUnasked(now)) {
+            return;
+        }
+        nextWait = 2 * (now - waitingSince);
+        context.events()
+                .record(
+                        GatewayEvent.ITEM_WAITING,
+                        "request",
+                        item,
+                        "job",
+                        job.id(),
+                        "team",
+                        job.team(),
+                        "state",
+                        state,
+                        "waited-ms",
+                        TimeUnit.NANOSECONDS.toMillis(now - waitingSince),
+                        "asks",
+                        asks,
+                        "refusal",
+                        refusal,
+                        "excluded",
+                        String.join(",", new TreeSet<>(excluded)),
+                        "parts",
+                        String.join(",", prompt.shared()),
+                        "runs",
+                        runs,
+                        "last-event",
+                        lastEvent,
+                        "due-in-ms",
+                        job.dueMillis());
     }
 
     /**
@@ -60,6 +135,7 @@
     void enter(Phase nextPhase, long now) {
         elapsed.merge(phase, now - phaseStartedAt, Long::sum);
         phase = nextPhase;
+        asks += nextPhase == Phase.WAITING ? 1 : 0;
         phaseStartedAt = now;
     }
 
@@ -67,10 +143,11 @@
      * Records the start of a run. The current phase must be {@link Phase#WAITING}.
      *
      * @param target The identity of the target.
+     * @param permit The number of the permit.
      * @param lastEvent The number of the last event before the run.
      * @param now The current monotonic time in nanoseconds.
      */
-    void recordRunStart(String target, long lastEvent, long now) {
+    void recordRunStart(String target, long permit, long lastEvent, long now) {
         context.metrics().itemWaited(now - phaseStartedAt);
         context.events()
                 .record(
@@ -79,8 +156,12 @@
                         item,
                         "job",
                         job.id(),
+                        "team",
+                        job.team(),
                         "target",
                         target,
+                        "permit",
+                        permit,
                         "parts",
                         String.join(",", prompt.shared()),
                         "last-event",
@@ -93,6 +174,8 @@
         startEvent = lastEvent;
         answer = null;
         runs++;
+        asks = 0;
+        refusal = "";
     }
 
     /** Notes the head of the answer in the current run. */
@@ -144,6 +227,8 @@
                         "recorded-event",
                         recordedEvent);
         enter(Phase.IDLE, now);
+        waitingSince = now;
+        nextWait = LONG_WAIT_NANOS;
     }
 
     /**
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -203,6 +203,7 @@
         if (state == State.RUNNING && now - lastReceivedAt > MAX_SILENCE_NANOS) {
             failExchange("no event came for " + TimeUnit.NANOSECONDS.toMillis(now - lastReceivedAt) + " ms");
         }
+        log.recordWait(state.name(), excluded, lastEvent, now);
     }
 
     /**
@@ -215,6 +216,7 @@
         Optional<QuarantineDecision.Refused> held =
                 context.quarantine().refusal(prompt, context.time().nanos());
         if (held.isPresent()) {
+            log.refused(PlacementDecision.Reason.QUARANTINED, held.get().detail());
             holdBack(
                     held.get().detail(),
                     TimeUnit.NANOSECONDS.toMillis(held.get().remainingNanos()));
@@ -286,6 +288,7 @@
                 context.runs().remove(permit);
                 permit = 0;
                 excluded.clear();
+                log.refused(refused.reason(), refused.detail());
                 if (refused.reason() == PlacementDecision.Reason.QUARANTINED) {
                     holdBack(refused.detail(), refused.retryAfterMillis());
                 } else {
@@ -314,6 +317,7 @@
     private void run(String id) {
         TargetEntry entry = context.fleet().usableTarget(id).orElse(null);
         if (entry == null) {
+            log.refused(PlacementDecision.Reason.NO_TARGET, id + " is not usable here");
             retry(PlaceOutcome.UNUSED, RETRY_DELAY_MILLIS);
             return;
         }
@@ -326,7 +330,7 @@
         target = entry;
         frames = EventFrames.of();
         accepted = false;
-        log.recordRunStart(id, lastEvent, startedAt);
+        log.recordRunStart(id, permit, lastEvent, startedAt);
         Map<String, String> headers = new LinkedHashMap<>();
         for (ItemHeader header : item.getHeadersList()) {
             headers.put(header.getName(), header.getValue());
@@ -559,16 +563,11 @@
 
     /** Records the end of the current run, if there is one. */
     private void endRun(ItemLog.RunEnd end, String detail) {
+        long now = context.time().nanos();
         if (state == State.RUNNING) {
-            context.pace().recordRun(lastEvent - startEvent, context.time().nanos() - startedAt);
+            context.pace().recordRun(lastEvent - startEvent, now - startedAt);
         }
-        log.recordRunEnd(
-                end,
-                detail,
-                targetId(),
-                lastEvent,
-                recordedEvent,
-                context.time().nanos());
+        log.recordRunEnd(end, detail, targetId(), lastEvent, recordedEvent, now);
     }
 
     /** Returns the identity of the target; empty if there is none. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
@@ -44,6 +44,12 @@
      */
     private static final long PROGRESS_INTERVAL_MILLIS = 1_500;
 
+    /** Time after which it is logged that the items of a job have not been loaded, in nanoseconds. */
+    private static final long LOAD_DELAY_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    /** Minimum time between two records of items that wait without asking, in nanoseconds. */
+    private static final long UNASKED_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
+
     private final JobContext context;
 
     /** Receives the job after each change of its row. */
@@ -94,12 +100,19 @@
     /** Monotonic time at which this instance became the owner, in nanoseconds. */
     private final long startedAt;
 
+    /** Whether it has been logged that the items have not been loaded for long. */
+    private boolean loadDelayRecorded;
+
+    /** Monotonic time in nanoseconds at which the wait of an item that did not ask was last logged. */
+    private long unaskedRecordedAt;
+
     JobRun(JobContext context, JobRecord job, Consumer<JobRecord> changeListener) {
         this.context = context;
         this.job = job;
         this.changeListener = changeListener;
         startedAt = context.time().nanos();
         progressWrittenAt = startedAt;
+        unaskedRecordedAt = startedAt;
         readFailures = new StepFailures(context, id(), "resume");
         writeFailures = new StepFailures(context, id(), "record");
     }
@@ -234,6 +247,7 @@
             return;
         }
         List.copyOf(items.values()).forEach(item -> item.check(now));
+        recordLoadDelay(now);
         boolean due = now - progressWrittenAt >= TimeUnit.MILLISECONDS.toNanos(PROGRESS_INTERVAL_MILLIS);
         if (due && loaded && !writing && items.values().stream().anyMatch(ItemRun::unrecorded)) {
             writing = true;
@@ -241,6 +255,36 @@
         }
     }
 
+    /** Logs once that the items have not been read for long. */
+    private void recordLoadDelay(long now) {
+        if (!loaded && !loadDelayRecorded && now - startedAt >= LOAD_DELAY_NANOS) {
+            loadDelayRecorded = true;
+            context.events()
+                    .record(
+                            GatewayEvent.JOB_NOT_RUN,
+                            "job",
+                            id(),
+                            "team",
+                            team(),
+                            "owner",
+                            job.row().getOwner(),
+                            "reason",
+                            "its items have not been read",
+                            "version",
+                            job.version());
+        }
+    }
+
+    /**
+     * Returns whether the wait of an item that did not even ask may be logged now. There may be thousands of such
+     * items, which wait for the same reason.
+     */
+    boolean mayRecordUnasked(long now) {
+        boolean may = now - unaskedRecordedAt >= UNASKED_INTERVAL_NANOS;
+        unaskedRecordedAt = may ? now : unaskedRecordedAt;
+        return may;
+    }
+
     /**
      * Asks for places for items that can run. Abandons all items if the time for the job is over. An item that ends in
      * the course of it does not call this again, but lets it run once more: the depth of the calls must not grow with
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
@@ -44,6 +44,9 @@
      */
     private static final long STARTUP_GRACE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+    /** Time after which it is logged that a job does not run, in nanoseconds: several attempts to take it over. */
+    private static final long NOT_RUN_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private final JobContext context;
 
     /** Tells which instances run. */
@@ -61,6 +64,12 @@
     /** Identities of the jobs that this instance is taking over, or will try to take over again after a pause. */
     private final Set<String> takingOver = new HashSet<>();
 
+    /** Monotonic time in nanoseconds since which a job should run here and does not, by identity. */
+    private final Map<String, Long> notRunSince = new HashMap<>();
+
+    /** Identities of those of them whose delay has been logged. */
+    private final Set<String> notRunRecorded = new HashSet<>();
+
     /** Failures to take over jobs, by identity. */
     private final Map<String, StepFailures> takeOverFailures = new HashMap<>();
 
@@ -135,9 +144,10 @@
         if (liveness.stopping()) {
             return;
         }
+        recordNotRun(now);
         for (JobView view : List.copyOf(jobs.values())) {
             JobRecord record = view.record();
-            if (record.open() && !runs.containsKey(record.row().getId()) && shouldTakeOver(record, now)) {
+            if (runIsMissing(record, now)) {
                 takeOver(record);
             }
         }
@@ -149,6 +159,41 @@
                 context.time().wallMillis());
     }
 
+    /** Returns whether a job should run on this instance and does not. */
+    private boolean runIsMissing(JobRecord record, long now) {
+        return record.open() && !runs.containsKey(record.row().getId()) && shouldTakeOver(record, now);
+    }
+
+    /** Logs once for each time that a job which should run here has for long not done so. */
+    private void recordNotRun(long now) {
+        notRunSince.keySet().removeIf(id -> {
+            JobView view = jobs.get(id);
+            return view == null || !runIsMissing(view.record(), now);
+        });
+        notRunRecorded.retainAll(notRunSince.keySet());
+        for (JobView view : jobs.values()) {
+            JobRecord record = view.record();
+            String id = record.row().getId();
+            if (runIsMissing(record, now)
+                    && now - notRunSince.computeIfAbsent(id, key -> now) >= NOT_RUN_NANOS
+                    && notRunRecorded.add(id)) {
+                context.events()
+                        .record(
+                                GatewayEvent.JOB_NOT_RUN,
+                                "job",
+                                id,
+                                "team",
+                                record.row().getTeam(),
+                                "owner",
+                                record.row().getOwner(),
+                                "reason",
+                                takingOver.contains(id) ? "its take-over has not ended" : "no take-over has begun",
+                                "version",
+                                record.version());
+            }
+        }
+    }
+
     /** Hands over all jobs of this instance to other instances. */
     public void handOver() {
         handingOver = true;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/quarantine/PartQuarantine.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/quarantine/PartQuarantine.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.tanagermoor.gateway.GatewayEvent;
+import org.tanagermoor.gateway.dispatch.PlaceOutcome;
+import org.tanagermoor.gateway.dispatch.Trial;
 import org.tanagermoor.gateway.duty.Duties;
 import org.tanagermoor.gateway.proto.QuarantinedPart;
 import org.tanagermoor.kernel.event.EventLog;
@@ -94,6 +96,24 @@
         broadcast.run();
     }
 
+    /** Logs the beginning or the end of a trial, which the dispatcher of this instance has granted. */
+    public void record(Trial trial) {
+        events.record(
+                trial.outcome().isEmpty() ? GatewayEvent.TRIAL_STARTED : GatewayEvent.TRIAL_ENDED,
+                "part",
+                String.join(",", trial.parts()),
+                "holder",
+                trial.holder(),
+                "permit",
+                trial.permit(),
+                "target",
+                trial.target(),
+                "outcome",
+                trial.outcome().map(PlaceOutcome::name).orElse(""),
+                "took-ms",
+                TimeUnit.NANOSECONDS.toMillis(trial.nanos()));
+    }
+
     /**
      * Releases a part at the request of an operator.
      *
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherFixture.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherFixture.java
@@ -38,6 +38,9 @@
     /** The records of parts of prompts in the order of the decisions. */
     final List<QuarantineEntry> quarantined = new ArrayList<>();
 
+    /** The beginnings and ends of trials. */
+    final List<Trial> trials = new ArrayList<>();
+
     final TeamRates rates = TeamRates.of();
 
     /** The current time in nanoseconds. */
@@ -81,6 +84,12 @@
                     public void quarantineChanged(QuarantineEntry entry) {
                         quarantined.add(entry);
                     }
+
+                    /** {@inheritDoc} */
+                    @Override
+                    public void trial(Trial trial) {
+                        trials.add(trial);
+                    }
                 },
                 rates,
                 Quarantine.of());
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/PartGuardTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/PartGuardTest.java
@@ -82,6 +82,30 @@
         assertThat(granted(dispatcher.ask(deadly(FIRST_DEADLY + 62), now)), is(!held));
     }
 
+    /** The log could not tell which request at which target was the trial of a part, and how it ended. */
+    @ParameterizedTest
+    @CsvSource({"SERVED, false, SERVED", "CRASHED, false, CRASHED", "SERVED, true, UNUSED"})
+    void reportsTheTrialOfAPart(PlaceOutcome outcome, boolean holderLost, PlaceOutcome reported) {
+        answers(3);
+        crash(3);
+        advance(3_000);
+        assertThat(trials, is(empty()));
+        Ask trial = deadly("y", FIRST_DEADLY + 60);
+        String target = grantedTarget(dispatcher.ask(trial, now));
+        advance(200);
+        if (holderLost) {
+            dispatcher.forget("y", now);
+        } else {
+            dispatcher.release("y", trial.permit(), outcome, now);
+        }
+        String part = quarantined.get(0).part();
+        assertThat(
+                trials,
+                is(List.of(
+                        new Trial(List.of(part), "y", trial.permit(), target, Optional.empty(), 0),
+                        new Trial(List.of(part), "y", trial.permit(), target, Optional.of(reported), 200_000_000))));
+    }
+
     /** What the holders saw under the dispatcher before counts at the next one, each run once. */
     @ParameterizedTest
     @ValueSource(ints = {0, 1, 2})
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -252,6 +252,26 @@
         assertThat(recorded.get(GatewayEvent.JOB_HANDED_OVER), contains("j"));
     }
 
+    /** An item that gets no place is logged at 5, 10, 20 and 40 s; of the items that do not even ask, one in 5 s. */
+    @ParameterizedTest
+    @CsvSource({"1, 4900, 0", "1, 5200, 1", "1, 10300, 2", "1, 45000, 4", "4, 5200, 4", "500, 5400, 5", "500, 9900, 5"})
+    void logsTheWaitOfItemsWithoutAPlace(int items, long millis, int lines) {
+        server.dispatcher().targets(List.of(), service -> 0, now);
+        submit(items);
+        advance(millis);
+        assertThat(recorded.getOrDefault(GatewayEvent.ITEM_WAITING, List.of()), hasSize(lines));
+    }
+
+    /** A job whose take-over does not succeed is logged once, by the instance that should run it. */
+    @ParameterizedTest
+    @CsvSource({"1500, 0", "2500, 1", "30000, 1"})
+    void logsAJobThatItDoesNotRun(long millis, int lines) {
+        recordJob(List.of(JobItem.newBuilder().setId("0").setPath("/batch/j").build()), "");
+        commitsFail = true;
+        advance(millis);
+        assertThat(recorded.getOrDefault(GatewayEvent.JOB_NOT_RUN, List.of()), hasSize(lines));
+    }
+
     /** Each item whose time is over is abandoned once. */
     @Test
     void abandonsEachItemOnce() {
