Repeat a trial of a part that no target ran

Cause: a trial counted from the grant of its place. One that ended without a run (the target could not be reached, was full, or no request was sent) taught nothing, but the next one came only 10 s, 30 s or 60 s later, and ever more rarely.

Change: such a trial is taken back: the count is as before and the next trial is due after one second, in a new revision that the other instances adopt. An end that may have been a run, or that nobody reported, counts as it did. A part on which there was another decision meanwhile is left as it is.

Measured: on the code before, PartGuardTest.repeatsATrialThatNoTargetRanSoon fails for UNUSED, UNREACHABLE and FULL ("Expected: is <true> but: was <false>"), the other 17 of its class pass. With the change PartGuardTest, PartGuardLoadTest (96 cases), QuarantineTest, RolloutPlacementTest, DispatcherTest and the other tests named Dispatch pass.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -254,7 +254,7 @@
             }
         }
         Trial.report(place, Optional.of(outcome), sink, now);
-        parts.ended(place, outcome, now);
+        parts.ended(place, outcome, answer, now);
         drain(queue, now);
     }
 
@@ -285,6 +285,8 @@
             if (!reported.contains(place.permit)
                     && !place.recent(queue(place.service).rollout().running(), now)) {
                 queue(place.service).rollout().lost(place, now);
+                Trial.report(place, Optional.of(PlaceOutcome.UNUSED), sink, now);
+                place.trial = List.of();
                 release(holder, place.permit, PlaceOutcome.UNUSED, now);
             }
         }
@@ -570,7 +572,7 @@
                 .withRoute(ask.traits().route());
         Grant grant = new Grant(ask.holder(), permit, ask.domain(), now);
         grant.version = place.entry().version();
-        grant.trialOf = parts.granted(ask, now);
+        parts.granted(grant, now);
         Trial.report(grant, Optional.empty(), sink, now);
         occupied.computeIfAbsent(ask.holder(), holder -> new HashMap<>()).put(ask.permit(), grant);
         queue.rollout().placed(grant, now);
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Grant.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Grant.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.tanagermoor.policy.prompt.Prompt;
+import org.tanagermoor.policy.quarantine.QuarantineEntry;
 import org.tanagermoor.policy.rollout.Rollout;
 
 /** A granted place that is in use. */
@@ -45,9 +46,6 @@
     @Nullable
     Rollout countedBy;
 
-    /** The marks of the prompt that are held back and of which this is a trial; empty if it is none. */
-    List<String> trialOf = List.of();
-
     /** The failure domain of the holder; empty if it is unknown. */
     final String domain;
 
@@ -61,6 +59,9 @@
 
     final Prompt prompt;
 
+    /** The records of the parts that the request is a trial of; none if it is not known how it ended. */
+    List<QuarantineEntry> trial = List.of();
+
     /** The monotonic time in nanoseconds at which this dispatcher learnt of the grant. */
     final long grantedAt;
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
@@ -46,19 +46,24 @@
         };
     }
 
+    /** Records that a place is granted, which is for a trial if a part of the prompt is held back. */
+    void granted(Grant grant, long now) {
+        grant.trial = quarantine.beginTrial(grant.prompt, now);
+        grant.trial.forEach(onChange);
+    }
+
     /**
-     * Records that an ask is granted a place, which is a trial if a part of its prompt is held back.
+     * Records how the use of a place ended.
      *
-     * @return The marks of the prompt that are held back.
+     * @param grant The place.
+     * @param outcome How its use ended.
+     * @param answer How the target answered.
+     * @param now The current monotonic time in nanoseconds.
      */
-    List<String> granted(Ask ask, long now) {
-        List<QuarantineEntry> entries = quarantine.beginTrial(ask.prompt(), now);
-        entries.forEach(onChange);
-        return entries.stream().map(QuarantineEntry::part).toList();
-    }
-
-    /** Records how the use of a place ended. */
-    void ended(Grant grant, PlaceOutcome outcome, long now) {
+    void ended(Grant grant, PlaceOutcome outcome, RunAnswer answer, long now) {
+        if (!outcome.mayHaveRun(answer)) {
+            quarantine.withdrawTrial(grant.trial, now).forEach(onChange);
+        }
         List<String> marks = grant.prompt.marks();
         switch (outcome) {
             case SERVED -> {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PlaceOutcome.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PlaceOutcome.java
@@ -69,6 +69,19 @@
         };
     }
 
+    /**
+     * Returns whether the target may have run the request.
+     *
+     * @param answer How the target answered.
+     */
+    boolean mayHaveRun(RunAnswer answer) {
+        return switch (this) {
+            case UNREACHABLE, FULL -> false;
+            case UNUSED -> answer.sent();
+            case SERVED, FAILED, CRASHED, BROKEN_OFF, ABANDONED -> true;
+        };
+    }
+
     /** Returns whether the target treated the request as it should. */
     boolean success() {
         return this == SERVED || this == ABANDONED;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/RolloutPlacement.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/RolloutPlacement.java
@@ -214,7 +214,7 @@
         if (rollout == null || version(grant).isEmpty()) {
             return;
         }
-        if (!ran(outcome, answer)) {
+        if (!outcome.mayHaveRun(answer)) {
             if (grant.countedBy == rollout) {
                 rollout.notRun(isNew(grant));
             }
@@ -231,15 +231,6 @@
         }
     }
 
-    /** Returns whether the target may have run the request. */
-    private static boolean ran(PlaceOutcome outcome, RunAnswer answer) {
-        return switch (outcome) {
-            case UNREACHABLE, FULL -> false;
-            case UNUSED -> answer.sent();
-            case SERVED, FAILED, CRASHED, BROKEN_OFF, ABANDONED -> true;
-        };
-    }
-
     /**
      * Returns the time to the first event; 0 if it is unknown. For a caller that left before the first event this is
      * the time that it waited, since otherwise a version that is too slow for its callers would have no slow answers.
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Trial.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Trial.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.tanagermoor.policy.quarantine.QuarantineEntry;
 
 /**
  * The beginning or the end of the trial of parts that are held back.
@@ -18,9 +19,9 @@
 
     /** Reports the beginning or the end of a grant if it is a trial. */
     static void report(Grant grant, Optional<PlaceOutcome> outcome, DispatchSink sink, long now) {
-        if (!grant.trialOf.isEmpty()) {
-            sink.trial(
-                    new Trial(grant.trialOf, grant.holder, grant.permit, grant.target, outcome, now - grant.grantedAt));
+        if (!grant.trial.isEmpty()) {
+            List<String> parts = grant.trial.stream().map(QuarantineEntry::part).toList();
+            sink.trial(new Trial(parts, grant.holder, grant.permit, grant.target, outcome, now - grant.grantedAt));
         }
     }
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/PartGuardTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/PartGuardTest.java
@@ -106,6 +106,45 @@
                         new Trial(List.of(part), "y", trial.permit(), target, Optional.of(reported), 200_000_000))));
     }
 
+    /**
+     * A trial that never reached a target counted like one that crashed it, and the next one came 10 s later. Not so if
+     * it may have run: its run was cut, or its holder does not report it any more.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "UNUSED, 0, true",
+        "UNREACHABLE, 0, true",
+        "FULL, 0, true",
+        "UNUSED, 1, false",
+        "FAILED, 1, false",
+        "CRASHED, 1, false",
+        "ABANDONED, 1, false",
+    })
+    void repeatsATrialThatNoTargetRanSoon(PlaceOutcome outcome, long runNanos, boolean repeated) {
+        answers(3);
+        crash(3);
+        advance(3_000);
+        assertThat(granted(dispatcher.ask(deadly(FIRST_DEADLY + 60), now)), is(true));
+        advance(200);
+        RunAnswer answer = new RunAnswer(false, 0, 0, runNanos, Optional.empty());
+        dispatcher.release("y", FIRST_DEADLY + 60, outcome, answer, now);
+        advance(1_000);
+        assertThat(granted(dispatcher.ask(deadly(FIRST_DEADLY + 61), now)), is(repeated));
+    }
+
+    /** See {@link #repeatsATrialThatNoTargetRanSoon}. */
+    @Test
+    void countsATrialWhoseEndIsUnknown() {
+        answers(3);
+        crash(3);
+        advance(3_000);
+        assertThat(granted(dispatcher.ask(deadly(FIRST_DEADLY + 60), now)), is(true));
+        advance(2_000);
+        dispatcher.resync("y", List.of(), now);
+        advance(1_000);
+        assertThat(granted(dispatcher.ask(deadly(FIRST_DEADLY + 61), now)), is(false));
+    }
+
     /** What the holders saw under the dispatcher before counts at the next one, each run once. */
     @ParameterizedTest
     @ValueSource(ints = {0, 1, 2})
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/Quarantine.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/Quarantine.java
@@ -31,6 +31,9 @@
      */
     static final long LONG_PERIOD_NANOS = Duration.ofSeconds(30).toNanos();
 
+    /** The time until the next trial after one that no target ran, in nanoseconds. */
+    static final long REPEATED_TRIAL_NANOS = Duration.ofSeconds(1).toNanos();
+
     /** The number of trials before the periods are long: as many crashes as a part may cause beyond the third. */
     private static final int EARLY_TRIALS = 2;
 
@@ -132,6 +135,28 @@
                 .toList();
     }
 
+    /**
+     * Takes a trial back that no target ran, so that nothing was learnt from it. A part on which there was another
+     * decision meanwhile is left as it is.
+     *
+     * @param trial The records that {@link #beginTrial} returned for it.
+     * @param now The current monotonic time in nanoseconds.
+     * @return The new records of the parts, whose next trial is due soon.
+     */
+    public List<QuarantineEntry> withdrawTrial(Collection<QuarantineEntry> trial, long now) {
+        return trial.stream()
+                .filter(entry -> entry.equals(entries.get(entry.part())))
+                .map(entry -> put(new QuarantineEntry(
+                        entry.part(),
+                        entry.revision() + 1,
+                        true,
+                        entry.trials() - 1,
+                        now + REPEATED_TRIAL_NANOS,
+                        now,
+                        entry.evidence())))
+                .toList();
+    }
+
     /**
      * Releases the parts of an answered request, unless it was sent before the last decision on them.
      *
--- a/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/QuarantineTest.java
+++ b/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/QuarantineTest.java
@@ -57,6 +57,26 @@
         }
     }
 
+    /** A trial that no target ran taught nothing, but the next one came up to 60 s later. */
+    @ParameterizedTest
+    @ValueSource(ints = {3, 4, 5})
+    void repeatsATrialThatNoTargetRanSoon(int crashes) {
+        quarantine.hold("part", crashes, "evidence", now);
+        QuarantineEntry before = quarantine.entries().iterator().next();
+        advance(3);
+        QuarantineEntry tried = quarantine.beginTrial(PROMPT, now).get(0);
+        QuarantineEntry withdrawn =
+                quarantine.withdrawTrial(List.of(tried), now).get(0);
+        assertThat(withdrawn.trials(), is(before.trials()));
+        assertThat(withdrawn.revision(), is(tried.revision() + 1));
+        assertThat(decide(PROMPT), is(instanceOf(QuarantineDecision.Refused.class)));
+        advance(1);
+        assertThat(decide(PROMPT), is(instanceOf(QuarantineDecision.TrialDue.class)));
+        assertThat(quarantine.withdrawTrial(List.of(tried), now), is(empty()));
+        quarantine.release("part", "mended", now);
+        assertThat(quarantine.withdrawTrial(List.of(withdrawn), now), is(empty()));
+    }
+
     /** An answered trial releases the part; an answer to a request that was sent before the decision does not. */
     @ParameterizedTest
     @CsvSource({"0, true", "-1, false"})
