Log why a job is not run after the take-over of the same tick

JOB_NOT_RUN said "no take-over has begun" of jobs whose take-over was being repeated: it was logged before the tick that begins the next attempt. It is logged after the attempts of the tick.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
@@ -144,13 +144,13 @@
         if (liveness.stopping()) {
             return;
         }
-        recordNotRun(now);
         for (JobView view : List.copyOf(jobs.values())) {
             JobRecord record = view.record();
             if (runIsMissing(record, now)) {
                 takeOver(record);
             }
         }
+        recordNotRun(now);
         forEachRun(JobRun::askForPlaces);
         retention.tick(
                 List.copyOf(jobs.values()),
