Let items pass one that excludes the free targets

The dispatcher offered free places to the item that benefits most and stopped at the first one that it could not place, so one item that excluded all targets with free places kept every other item of the service from them. An item that cannot be placed is now passed, with those that exclude the same targets.

DispatcherTest.isNotBlockedByAnItemThatExcludesTheFreeTargets on the code before, two of three cases: Expected: is <{11=Granted[target=a]}> but: was <{}>

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -461,11 +461,14 @@
                 return;
             }
         }
-        while (!batchPaused && !queue.batch().isEmpty()) {
-            ServiceQueue.Waiting next = queue.nextBatch(now);
-            if (!refuseHeldBack(queue, queue.batch(), next, now) && !serve(queue, queue.batch(), next, now)) {
-                return;
+        Set<Set<String>> blocked = new HashSet<>();
+        Optional<ServiceQueue.Waiting> next = queue.nextBatch(blocked, now);
+        while (!batchPaused && next.isPresent()) {
+            ServiceQueue.Waiting item = next.get();
+            if (!refuseHeldBack(queue, queue.batch(), item, now) && !serve(queue, queue.batch(), item, now)) {
+                blocked.add(queue.hasPlaceForBatch(now) ? item.ask().excluded() : Set.of());
             }
+            next = queue.nextBatch(blocked, now);
         }
     }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -286,7 +286,7 @@
      * @return The target; empty if no place is free for this ask.
      */
     Optional<TargetPlaces> choose(Ask ask, long now) {
-        if (ask.batch() && free(now) <= reserve(now)) {
+        if (ask.batch() && !hasPlaceForBatch(now)) {
             return Optional.empty();
         }
         Set<String> offered = rollout.offered(ask, now);
@@ -331,14 +331,20 @@
      * the item occupies a place, and among equal ones the one that must start first. If there are more items than
      * places, few started items are thus left behind, and work is spent on those that can still end in time.
      *
+     * @param blocked Sets of targets: no place is free for an item that excludes all targets of one of them.
      * @param now The current monotonic time in nanoseconds.
-     * @return The item; the queue must not be empty.
+     * @return The item; empty if there is none that is not blocked.
      */
-    Waiting nextBatch(long now) {
+    Optional<Waiting> nextBatch(Set<Set<String>> blocked, long now) {
         return batch.stream()
+                .filter(waiting -> blocked.stream().noneMatch(waiting.ask().excluded()::containsAll))
                 .max(Comparator.<Waiting>comparingDouble(waiting -> waiting.benefit(estimator.fraction(), now))
-                        .thenComparing(waiting -> waiting.slack(now), Comparator.reverseOrder()))
-                .orElseThrow();
+                        .thenComparing(waiting -> waiting.slack(now), Comparator.reverseOrder()));
+    }
+
+    /** Returns whether more places are free than items of jobs leave to online requests. */
+    boolean hasPlaceForBatch(long now) {
+        return free(now) > reserve(now);
     }
 
     /** Returns the fraction of the places that online requests have recently left free. */
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagermoor.gateway.fleet.FleetTeam;
@@ -115,6 +116,23 @@
         assertThat(decidedPermits, contains("12", "11", "10"));
     }
 
+    /** An item that excludes the targets with free places kept all others from them. */
+    @ParameterizedTest
+    @CsvSource({"1, 100", "100, 1", "5, 5"})
+    void isNotBlockedByAnItemThatExcludesTheFreeTargets(long excludingStartMillis, long otherStartMillis) {
+        dispatcher.targets(List.of(target("a", 4, 0), target("b", 4, 0)), service -> 0, now);
+        for (long permit = 1; permit <= 4; permit++) {
+            assertThat(dispatcher.ask(excluding(online(permit), "a"), now).isPresent(), is(true));
+        }
+        assertThat(dispatcher.ask(excluding(item(10, excludingStartMillis), "a"), now), is(Optional.empty()));
+        assertThat(dispatcher.ask(item(11, otherStartMillis), now), is(Optional.empty()));
+        advance(25);
+        dispatcher.tick(now);
+        assertThat(decisions, is(Map.of(11L, new PlacementDecision.Granted("a"))));
+        release(1, PlaceOutcome.SERVED);
+        assertThat(decisions.get(10L), is(new PlacementDecision.Granted("b")));
+    }
+
     /** An online request takes the place of an item that is late anyway, else of the item that can wait longest. */
     @Test
     void recallsTheItemWithTheSmallestLoss() {
@@ -309,4 +327,21 @@
                 .filter(PlacementDecision.Granted.class::isInstance)
                 .count();
     }
+
+    /** Returns an ask that does not want the given targets. */
+    private static Ask excluding(Ask ask, String... targets) {
+        return new Ask(
+                ask.holder(),
+                ask.permit(),
+                ask.service(),
+                ask.team(),
+                ask.domain(),
+                ask.promptKey(),
+                ask.waitNanos(),
+                ask.onTimeNanos(),
+                ask.work(),
+                ask.batch(),
+                ask.returning(),
+                Set.of(targets));
+    }
 }
