Adopt the row of a job that comes while its owner writes

Callers who end a job, and instances that take one over, could see its former owner run items on: a row that came while a write of the owner was not answered was ignored, and nothing read it again if the write had taken effect before the row or did not need its version. The run went on until its next write, and while the store was away until the store was back.

Change: the newest such row is kept, and adopted when the write or the reading of the recorded results has ended, also if the write failed.

JobsTest.stopsAJobWhoseRowCameDuringAWrite (ended or taken over; write answered or failed) failed before in all 4 cases ("Expected: is <true> but: was <false>", the run had not stopped) and passes, with JobLoadTest and DutiesTest, one run. This is no cause of items that nobody runs: the run that goes on is one too many, not one too few.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
@@ -67,6 +67,9 @@
     /** The job as it was last recorded. */
     private JobRecord job;
 
+    /** The newest row of the job that came while a write was in progress. */
+    private JobRecord missed;
+
     /** Failures to read what is recorded of the job. */
     private final StepFailures readFailures;
 
@@ -109,6 +112,7 @@
     JobRun(JobContext context, JobRecord job, Consumer<JobRecord> changeListener) {
         this.context = context;
         this.job = job;
+        missed = job;
         this.changeListener = changeListener;
         startedAt = context.time().nanos();
         progressWrittenAt = startedAt;
@@ -208,11 +212,23 @@
         }
     }
 
-    /** Adopts a newer row of the job, recorded by another writer. */
+    /** Adopts a newer row of the job, recorded by another writer; once a write in progress has ended. */
     void update(JobRecord record) {
-        if (record.version() > job.version() && !writing) {
-            adopt(record);
+        if (record.version() > missed.version()) {
+            missed = record;
+        }
+        if (!writing) {
+            adoptMissed();
+        }
+    }
+
+    /** Adopts the newest row that came while a write was in progress; returns whether there is one. */
+    private boolean adoptMissed() {
+        if (missed.version() <= job.version()) {
+            return false;
         }
+        adopt(missed);
+        return true;
     }
 
     /** Stops the job on this instance, and ends the runs of its items. */
@@ -413,14 +429,16 @@
             return;
         }
         if (outcome.isLeft()) {
-            writeFailed(outcome.getLeft());
+            if (!adoptMissed()) {
+                writeFailed(outcome.getLeft());
+            }
             return;
         }
         List<JobResult> results = contents.results();
         writeFailures.clear();
         JobRecord record = outcome.get();
         if (!record.row().equals(after)) {
-            adopt(record);
+            adopt(record.version() < missed.version() ? missed : record);
             return;
         }
         job = record;
@@ -444,16 +462,29 @@
         if (after.getOwner().isEmpty()) {
             context.events().record(GatewayEvent.JOB_HANDED_OVER, "job", id(), "version", record.version());
             stop();
-        } else if (handingOver) {
+        } else if (!adoptMissed()) {
+            writeNext();
+        }
+        // An error in it must not let a second write begin beside the scheduled one.
+        context.duties().run(DUTY, this::askForPlaces);
+    }
+
+    /** Ends the run if all results are recorded, or writes what is left. */
+    private void writeNext() {
+        if (handingOver) {
             scheduleWrite(0);
-        } else if (!record.open()) {
-            context.events().record(GatewayEvent.JOB_ENDED, "job", id(), "recorded", after.getRecorded());
+        } else if (!job.open()) {
+            context.events()
+                    .record(
+                            GatewayEvent.JOB_ENDED,
+                            "job",
+                            id(),
+                            "recorded",
+                            job.row().getRecorded());
             stopped = true;
         } else if (!unrecorded.isEmpty()) {
             scheduleWrite(0);
         }
-        // An error in it must not let a second write begin beside the scheduled one.
-        context.duties().run(DUTY, this::askForPlaces);
     }
 
     /** Writes again after a failure; less at once if the store does not take a commit of this size. */
@@ -532,7 +563,7 @@
             }
         }
         writing = false;
-        if (!unrecorded.isEmpty() || handingOver) {
+        if (!adoptMissed() && (!unrecorded.isEmpty() || handingOver)) {
             scheduleWrite(0);
         }
     }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -153,6 +153,9 @@
     /** The time that a scan of the store takes, in milliseconds. */
     private long scanDelayMillis;
 
+    /** The time until a commit is answered that has taken effect or failed, in milliseconds. */
+    private long commitDelayMillis;
+
     /** The kind of the calls of the store that throw an error; empty for none. */
     private String errorWhen = "";
 
@@ -593,6 +596,42 @@
         assertThat(job.row().getRecorded(), is(1));
     }
 
+    /**
+     * A job that was ended or taken over went on running if its row came while the own write was not answered.
+     *
+     * @param owner The owner in the row; empty if it says that the job has ended.
+     * @param answered Whether the write is answered, rather than fails without having taken effect.
+     */
+    @ParameterizedTest
+    @CsvSource({"'', true", "'', false", "other~8, true", "other~8, false"})
+    void stopsAJobWhoseRowCameDuringAWrite(String owner, boolean answered) {
+        JobRow row = JobRow.newBuilder()
+                .setId("j")
+                .setOwner(dispatch.self())
+                .setTotal(2)
+                .setAcceptedMillis(time.wallMillis())
+                .build();
+        JobContent content = JobContent.newBuilder()
+                .addItems(JobItem.newBuilder().setId("0"))
+                .addItems(JobItem.newBuilder().setId("1"))
+                .build();
+        JobRecord accepted = store.accept(row, content).block().get();
+        JobRun run = new JobRun(context, accepted, record -> {});
+        run.start(content);
+        commitsFail = !answered;
+        commitDelayMillis = 500;
+        run.finished(new JobResult("0", true, "one"));
+        advanceLoop(200);
+        JobStore others = JobStore.of(tables, objects);
+        JobRecord before = others.read("j").block().get().get();
+        JobRow after = owner.isEmpty()
+                ? before.row().toBuilder().setEnded(true).build()
+                : before.row().toBuilder().setOwner(owner).build();
+        run.update(others.write(before, List.of(), after).block().get());
+        advanceLoop(500);
+        assertThat(run.stopped(), is(true));
+    }
+
     /** Stores a job of an instance that is gone, whose items but the last have been recorded with an output. */
     private JobRecord recordJob(List<JobItem> items, String output) {
         JobRow row = JobRow.newBuilder()
@@ -685,10 +724,7 @@
         public Mono<Either<Failure, RowPage>> scan(String table, String prefix, String after, int limit) {
             throwIf("scan");
             Mono<Either<Failure, RowPage>> page = tables.scan(table, prefix, after, limit);
-            return scanDelayMillis == 0
-                    ? page
-                    : Mono.create(sink -> channel.eventLoop()
-                            .schedule(() -> page.subscribe(sink::success), scanDelayMillis, TimeUnit.MILLISECONDS));
+            return delayed(page, scanDelayMillis);
         }
 
         /** {@inheritDoc} */
@@ -697,13 +733,23 @@
             throwIf("commit");
             if (commitsFail) {
                 failedCommits++;
-                return Mono.just(
-                        Either.left(Failure.notRun(commitFailure, "store.commit", ADDRESS.toString(), "refused")));
+                return delayed(
+                        Mono.just(Either.left(
+                                Failure.notRun(commitFailure, "store.commit", ADDRESS.toString(), "refused"))),
+                        commitDelayMillis);
             }
             return tooLarge(transaction)
                     ? Mono.just(Either.left(
                             Failure.notRun(Failure.Kind.TOO_LARGE, "store.commit", ADDRESS.toString(), "too large")))
-                    : tables.commit(transaction);
+                    : delayed(Mono.just(tables.commit(transaction).block()), commitDelayMillis);
+        }
+
+        /** Returns an answer that comes after a time in milliseconds. */
+        private <T> Mono<T> delayed(Mono<T> answer, long millis) {
+            return millis == 0
+                    ? answer
+                    : Mono.create(sink -> channel.eventLoop()
+                            .schedule(() -> answer.subscribe(sink::success), millis, TimeUnit.MILLISECONDS));
         }
 
         /** Throws an error if calls of this kind do. */
