--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -91,7 +91,7 @@
 final class JobsTest {
 
     /** Address of the instance and of all targets. */
-    private static final Address ADDRESS = Address.of("127.0.0.1", 1);
+    static final Address ADDRESS = Address.of("127.0.0.1", 1);
 
     private static final List<String> TARGETS = List.of("t-1", "t-2", "t-3");
 
@@ -110,7 +110,7 @@
      */
     private static final long MAX_DELETION_DELAY_MILLIS = 20_000;
 
-    private static final Route ROUTE = new Route(
+    static final Route ROUTE = new Route(
             "batch",
             "host",
             "/batch/",
@@ -857,7 +857,7 @@
     }
 
     /** A configuration with one route, and targets. */
-    private static final class Codec implements FleetCodec {
+    static final class Codec implements FleetCodec {
 
         /** {@inheritDoc} */
         @Override
@@ -898,7 +898,7 @@
     }
 
     /** A protocol whose requests are never answered. */
-    private static final class Protocol implements TargetProtocol {
+    static final class Protocol implements TargetProtocol {
 
         /** {@inheritDoc} */
         @Override
@@ -914,7 +914,7 @@
     }
 
     /** A link without other instances. */
-    private static final class NoPeers implements PeerLink {
+    static final class NoPeers implements PeerLink {
 
         /** {@inheritDoc} */
         @Override
