Move the queued ask into a file of its own

QueuedAsk was ServiceQueue.Waiting; the conversion of an expected wait moves to ServiceQueue. No behaviour changes: DispatcherTest, DispatcherLoadTest and FairShareLoadTest pass.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -36,9 +36,6 @@
     /** The same for an item of a job, whose holder repeats the ask once a second. */
     private static final long BATCH_ASK_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-    /** The minimum time after which a refused caller is told to come back, in milliseconds. */
-    private static final long MIN_RETRY_MILLIS = 50;
-
     /** The time after which a caller is told to come back when no target is known, in milliseconds. */
     private static final long NO_TARGET_RETRY_MILLIS = 500;
 
@@ -201,7 +198,7 @@
             return Optional.of(new PlacementDecision.Granted(current.target));
         }
         ServiceQueue queue = queue(ask.service());
-        Optional<ServiceQueue.Waiting> waiting = queue.find(ask);
+        Optional<QueuedAsk> waiting = queue.find(ask);
         if (waiting.isPresent()) {
             waiting.get().refresh(now);
             return Optional.empty();
@@ -359,7 +356,7 @@
 
     /** Refuses the queued asks that others have overtaken. */
     private void refuseOvertaken(ServiceQueue queue, long now) {
-        List<ServiceQueue.Waiting> overtaken = queue.overtaken(now);
+        List<QueuedAsk> overtaken = queue.overtaken(now);
         if (!overtaken.isEmpty()) {
             queue.online().removeAll(overtaken);
             overtaken.forEach(queue::withdrawn);
@@ -422,7 +419,7 @@
         if (!ask.batch()) {
             double wait = queue.expectedWait(ask, now);
             if (wait > ServiceQueue.maxWait(ask)) {
-                return refused(PlacementDecision.Reason.OVERLOADED, millis(wait));
+                return refused(PlacementDecision.Reason.OVERLOADED, ServiceQueue.retryMillis(wait));
             }
         }
         queue.add(ask, now);
@@ -453,7 +450,7 @@
     /** Grants free places: to online requests that can be on time, then to late ones, then to items of jobs. */
     private void drainOnce(ServiceQueue queue, long now) {
         while (!queue.online().isEmpty()) {
-            ServiceQueue.Waiting next = queue.nextOnline(now);
+            QueuedAsk next = queue.nextOnline(now);
             if (refuseHeldBack(queue, queue.online(), next, now)) {
                 continue;
             }
@@ -462,9 +459,9 @@
             }
         }
         Set<Set<String>> blocked = new HashSet<>();
-        Optional<ServiceQueue.Waiting> next = queue.nextBatch(blocked, now);
+        Optional<QueuedAsk> next = queue.nextBatch(blocked, now);
         while (!batchPaused && next.isPresent()) {
-            ServiceQueue.Waiting item = next.get();
+            QueuedAsk item = next.get();
             if (!refuseHeldBack(queue, queue.batch(), item, now) && !serve(queue, queue.batch(), item, now)) {
                 blocked.add(queue.hasPlaceForBatch(now) ? item.ask().excluded() : Set.of());
             }
@@ -473,7 +470,7 @@
     }
 
     /** Grants a place to a queued ask if one is free; returns whether it did. */
-    private boolean serve(ServiceQueue queue, List<ServiceQueue.Waiting> waiting, ServiceQueue.Waiting next, long now) {
+    private boolean serve(ServiceQueue queue, List<QueuedAsk> waiting, QueuedAsk next, long now) {
         Optional<TargetPlaces> place = queue.choose(next.ask(), now);
         if (place.isEmpty()) {
             return false;
@@ -485,15 +482,14 @@
     }
 
     /** Refuses the asks of a queue that have a part that is held back. */
-    private void refuseHeldBack(ServiceQueue queue, List<ServiceQueue.Waiting> waiting, long now) {
+    private void refuseHeldBack(ServiceQueue queue, List<QueuedAsk> waiting, long now) {
         if (parts.anyHeldBack()) {
             List.copyOf(waiting).forEach(next -> refuseHeldBack(queue, waiting, next, now));
         }
     }
 
     /** Refuses a queued ask if it has a part that is held back; returns whether it did. */
-    private boolean refuseHeldBack(
-            ServiceQueue queue, List<ServiceQueue.Waiting> waiting, ServiceQueue.Waiting next, long now) {
+    private boolean refuseHeldBack(ServiceQueue queue, List<QueuedAsk> waiting, QueuedAsk next, long now) {
         Optional<PlacementDecision> held = parts.refusal(next.ask(), now);
         if (held.isPresent() && waiting.remove(next)) {
             queue.withdrawn(next);
@@ -503,11 +499,11 @@
     }
 
     /** Refuses the asks of a queue that have waited too long. */
-    private void expire(ServiceQueue queue, List<ServiceQueue.Waiting> waiting, long now) {
-        Iterator<ServiceQueue.Waiting> iterator = waiting.iterator();
-        List<ServiceQueue.Waiting> expired = new ArrayList<>();
+    private void expire(ServiceQueue queue, List<QueuedAsk> waiting, long now) {
+        Iterator<QueuedAsk> iterator = waiting.iterator();
+        List<QueuedAsk> expired = new ArrayList<>();
         while (iterator.hasNext()) {
-            ServiceQueue.Waiting next = iterator.next();
+            QueuedAsk next = iterator.next();
             if (next.expired(now, next.ask().batch() ? BATCH_ASK_TIMEOUT_NANOS : ASK_TIMEOUT_NANOS)) {
                 iterator.remove();
                 queue.withdrawn(next);
@@ -518,8 +514,8 @@
     }
 
     /** Refuses asks that have been removed from a queue. */
-    private void refuseOverloaded(ServiceQueue queue, List<ServiceQueue.Waiting> asks, long now) {
-        long retry = millis(queue.expectedWait(now));
+    private void refuseOverloaded(ServiceQueue queue, List<QueuedAsk> asks, long now) {
+        long retry = ServiceQueue.retryMillis(queue.expectedWait(now));
         asks.forEach(next ->
                 sink.decided(next.ask(), new PlacementDecision.Refused(PlacementDecision.Reason.OVERLOADED, retry)));
     }
@@ -594,9 +590,4 @@
     private static Optional<PlacementDecision> refused(PlacementDecision.Reason reason, long millis) {
         return Optional.of(new PlacementDecision.Refused(reason, millis));
     }
-
-    /** Converts an expected wait into the time after which a caller is told to come back, in milliseconds. */
-    private static long millis(double nanos) {
-        return Math.max(MIN_RETRY_MILLIS, (long) (nanos / 1e6));
-    }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -26,8 +26,8 @@
      */
     private static final long RETURNING_WAIT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    /** The multiple of {@link #maxWait} after which a queued caller is refused and told to come back. */
-    private static final long LATE_FACTOR = 2;
+    /** The minimum time after which a refused caller is told to come back, in milliseconds. */
+    private static final long MIN_RETRY_MILLIS = 50;
 
     /** The maximum number of prompts for which the most recent target is remembered. */
     private static final int MAX_PROMPTS = 4_096;
@@ -56,10 +56,10 @@
     private final RolloutPlacement rollout = new RolloutPlacement(places);
 
     /** The queued online requests in the order of their arrival. */
-    private final List<Waiting> online = new ArrayList<>();
+    private final List<QueuedAsk> online = new ArrayList<>();
 
     /** The queued items of jobs in the order of their arrival. */
-    private final List<Waiting> batch = new ArrayList<>();
+    private final List<QueuedAsk> batch = new ArrayList<>();
 
     /** The mean time for which an online request occupies a place, in nanoseconds. */
     private double occupancyNanos = INITIAL_OCCUPANCY_NANOS;
@@ -144,7 +144,7 @@
 
     /** Removes the asks of a holder that no longer runs. */
     void forget(String holder) {
-        List<Waiting> gone = online.stream()
+        List<QueuedAsk> gone = online.stream()
                 .filter(waiting -> waiting.ask().holder().equals(holder))
                 .toList();
         online.removeAll(gone);
@@ -153,17 +153,17 @@
     }
 
     /** Returns the queued online requests; changes take effect. */
-    List<Waiting> online() {
+    List<QueuedAsk> online() {
         return online;
     }
 
     /** Returns the queued items of jobs; changes take effect. */
-    List<Waiting> batch() {
+    List<QueuedAsk> batch() {
         return batch;
     }
 
     /** Finds a repeated ask in the queue. */
-    Optional<Waiting> find(Ask ask) {
+    Optional<QueuedAsk> find(Ask ask) {
         return (ask.batch() ? batch : online)
                 .stream()
                         .filter(waiting -> waiting.matches(ask.holder(), ask.permit()))
@@ -173,30 +173,30 @@
     /** Queues an ask. */
     void add(Ask ask, long now) {
         if (ask.batch()) {
-            batch.add(new Waiting(ask, 0, 0, now));
+            batch.add(new QueuedAsk(ask, 0, 0, now));
         } else {
             added++;
-            online.add(new Waiting(
+            online.add(new QueuedAsk(
                     ask, added, fairOrder.map(order -> order.add(ask)).orElse(0.0), now));
         }
     }
 
     /** Records that a queued ask is not granted a place; the later asks of its team move up. */
-    void withdrawn(Waiting waiting) {
+    void withdrawn(QueuedAsk waiting) {
         if (waiting.ask().batch() || fairOrder.isEmpty()) {
             return;
         }
         double cost = fairOrder.get().withdrawn(waiting.ask());
-        for (Waiting other : online) {
-            if (other.number > waiting.number
+        for (QueuedAsk other : online) {
+            if (other.number() > waiting.number()
                     && other.ask().team().equals(waiting.ask().team())) {
-                other.position -= cost;
+                other.moveUp(cost);
             }
         }
     }
 
     /** Records that a queued ask is granted a place. */
-    void served(Waiting waiting) {
+    void served(QueuedAsk waiting) {
         if (!waiting.ask().batch()) {
             fairOrder.ifPresent(order -> order.served(waiting.ask(), waiting.position()));
         }
@@ -252,6 +252,11 @@
         return position <= 0 ? RECALL_NANOS : position * occupancyNanos / (usablePlaces + 1);
     }
 
+    /** Converts an expected wait into the time after which a caller is told to come back, in milliseconds. */
+    static long retryMillis(double waitNanos) {
+        return Math.max(MIN_RETRY_MILLIS, (long) (waitNanos / 1e6));
+    }
+
     /** Returns the total number of places of usable targets for any request, free or in use. */
     int usablePlaces(long now) {
         return places.values().stream()
@@ -335,10 +340,10 @@
      * @param now The current monotonic time in nanoseconds.
      * @return The item; empty if there is none that is not blocked.
      */
-    Optional<Waiting> nextBatch(Set<Set<String>> blocked, long now) {
+    Optional<QueuedAsk> nextBatch(Set<Set<String>> blocked, long now) {
         return batch.stream()
                 .filter(waiting -> blocked.stream().noneMatch(waiting.ask().excluded()::containsAll))
-                .max(Comparator.<Waiting>comparingDouble(waiting -> waiting.benefit(estimator.fraction(), now))
+                .max(Comparator.<QueuedAsk>comparingDouble(waiting -> waiting.benefit(estimator.fraction(), now))
                         .thenComparing(waiting -> waiting.slack(now), Comparator.reverseOrder()));
     }
 
@@ -396,16 +401,16 @@
      *
      * @param now The current monotonic time in nanoseconds.
      */
-    List<Waiting> overtaken(long now) {
+    List<QueuedAsk> overtaken(long now) {
         if (fairOrder.isEmpty() || online.isEmpty()) {
             return List.of();
         }
-        List<Waiting> result = new ArrayList<>();
+        List<QueuedAsk> result = new ArrayList<>();
         long before = 0;
         int batchPlaces = batchPlaces(now);
         int usablePlaces = usablePlaces(now);
-        for (Waiting waiting : online.stream()
-                .sorted(Comparator.comparingDouble(Waiting::position))
+        for (QueuedAsk waiting : online.stream()
+                .sorted(Comparator.comparingDouble(QueuedAsk::position))
                 .toList()) {
             if (expectedWait(before, batchPlaces, usablePlaces) > waiting.remainingWait(now)) {
                 result.add(waiting);
@@ -440,16 +445,16 @@
      * @param now The current monotonic time in nanoseconds.
      * @return The request; the queue must not be empty.
      */
-    Waiting nextOnline(long now) {
+    QueuedAsk nextOnline(long now) {
         if (fairOrder.isPresent()) {
             return online.stream()
                     .filter(waiting -> waiting.onTime(now))
-                    .min(Comparator.comparingDouble(Waiting::position))
+                    .min(Comparator.comparingDouble(QueuedAsk::position))
                     .orElseGet(() -> online.get(0));
         }
-        Waiting next = online.get(0);
+        QueuedAsk next = online.get(0);
         boolean found = false;
-        for (Waiting waiting : online) {
+        for (QueuedAsk waiting : online) {
             if (waiting.onTime(now) && waiting.ask().returning()) {
                 return waiting;
             }
@@ -513,82 +518,4 @@
      * @param remote Whether it runs in another failure domain than the holder.
      */
     private record Candidate(TargetPlaces place, boolean suspected, double load, boolean remote) {}
-
-    /** A queued ask. */
-    static final class Waiting {
-
-        private final Ask ask;
-
-        /** The position in the order of fair shares; 0 if the order of arrival decides. */
-        private double position;
-
-        /** The number in the order of arrival; 0 for an item of a job. */
-        private final long number;
-
-        /** The monotonic time of its arrival in nanoseconds. */
-        private final long arrivedAt;
-
-        /** The monotonic time in nanoseconds at which its holder last repeated it. */
-        private long lastAskedAt;
-
-        /** Creates a queued ask that arrived now. */
-        Waiting(Ask ask, long number, double position, long now) {
-            this.ask = ask;
-            this.number = number;
-            this.position = position;
-            arrivedAt = now;
-            lastAskedAt = now;
-        }
-
-        Ask ask() {
-            return ask;
-        }
-
-        double position() {
-            return position;
-        }
-
-        /** Returns whether this is the ask with a permit of a holder. */
-        boolean matches(String holder, long permit) {
-            return ask.permit() == permit && ask.holder().equals(holder);
-        }
-
-        /** Returns how much longer it can wait and still be on time, in nanoseconds; below 0 if it is late. */
-        long slack(long now) {
-            return arrivedAt + ask.onTimeNanos() - now;
-        }
-
-        /** Returns the longest further wait that is worth while, in nanoseconds; below 0 if there is none. */
-        long remainingWait(long now) {
-            return arrivedAt + maxWait(ask) - now;
-        }
-
-        /** Returns whether it can still be on time. */
-        boolean onTime(long now) {
-            return slack(now) >= 0;
-        }
-
-        /**
-         * Returns the benefit to the caller of an item of granting it a place, relative to the time for which it
-         * occupies the place.
-         *
-         * @param fraction The fraction of the places that online requests leave free, and so of the time for which
-         *     an item runs.
-         * @param now The current monotonic time in nanoseconds.
-         */
-        double benefit(double fraction, long now) {
-            return ask.work().benefit(slack(now), fraction);
-        }
-
-        /** Returns whether further waiting is useless, or the holder has stopped repeating the ask. */
-        boolean expired(long now, long timeoutNanos) {
-            boolean late = !ask.batch() && now - arrivedAt > LATE_FACTOR * maxWait(ask);
-            return late || now - arrivedAt > ask.waitNanos() || now - lastAskedAt > timeoutNanos;
-        }
-
-        /** Records that the holder repeated the ask. */
-        void refresh(long now) {
-            lastAskedAt = now;
-        }
-    }
 }
