Run items with a part that is held back at a reserved target

Cause: an item of an accepted job cannot be refused, so one with a part that is held back waited for the trials of the whole fleet: one request after 3 s, 10 s, 30 s and then ever more rarely. A sound part that was accused wrongly was caught in the same way when its trials met targets with faults of their own.

Change: such items run at one target of their service at a time that is reserved for them and that has no other requests. Each is offered a run within the time of its job divided by its attempts. They run one at a time until two different requests have each crashed a target while alone there, then together. IsolatedRuns decides, Suspects carries it out for the dispatcher, ItemHold says when the item asks. Trials of online requests are as before, and a crash in isolation does not touch their schedule. Items with a held part no longer count among the four of a job that wait at a time.

AskOrderTest has a case more; JobLoad, CrashLoad and DispatcherFixture only follow the interfaces.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -273,6 +273,7 @@
         dispatchClient.leavingTargets(fleet::leaving);
         dispatchServer.quarantineHandler(quarantine::publish);
         dispatchServer.trialHandler(quarantine::record);
+        dispatchServer.log(events);
         quarantine.start(gossip::broadcast);
         dispatchServer.leavingHandler(target -> fleet.leaving(target.getId(), target.getStartedMillis()));
         operatorTable.start();
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
@@ -157,7 +157,16 @@
     ITEM_WAITING(2250, Level.INFO, "an item has been waiting for long"),
 
     /** The table names this instance as the owner of an open job whose items it does not run. */
-    JOB_NOT_RUN(2251, Level.WARNING, "a job of this instance is not run");
+    JOB_NOT_RUN(2251, Level.WARNING, "a job of this instance is not run"),
+
+    /** It gets no other requests, so that a crash costs none of them. */
+    TARGET_RESERVED(2255, Level.INFO, "a target was reserved for items with a part that is held back"),
+
+    /** The target gets other requests again, unless it has crashed. */
+    TARGET_RESERVATION_ENDED(2256, Level.INFO, "the reservation of a target ended"),
+
+    /** What the target bore or did not bear. */
+    ISOLATED_RUN_ENDED(2257, Level.INFO, "a run of an item at a reserved target ended");
 
     private final Entry entry;
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
@@ -9,14 +9,18 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.tanagermoor.gateway.GatewayEvent;
 import org.tanagermoor.gateway.member.Liveness;
 import org.tanagermoor.gateway.proto.LeavingTarget;
 import org.tanagermoor.gateway.proto.PermitAnswer;
 import org.tanagermoor.gateway.proto.PermitCall;
 import org.tanagermoor.gateway.proto.PermitRecall;
+import org.tanagermoor.kernel.event.EventLog;
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.kernel.time.TimeSource;
 import org.tanagermoor.policy.fleet.InstanceId;
+import org.tanagermoor.policy.quarantine.IsolatedRuns;
+import org.tanagermoor.policy.quarantine.IsolationStep;
 import org.tanagermoor.policy.quarantine.Quarantine;
 import org.tanagermoor.policy.quarantine.QuarantineEntry;
 import org.tanagermoor.policy.rollout.RolloutView;
@@ -102,6 +106,9 @@
     /** Receives the beginnings and ends of trials of parts that are held back. */
     private Consumer<Trial> trialHandler = trial -> {};
 
+    /** The log; empty before it is set. */
+    private Optional<EventLog> log = Optional.empty();
+
     private DispatchServer(
             EventLoop loop, PeerLink link, Liveness liveness, TimeSource time, TeamRates rates, Quarantine quarantine) {
         this.loop = loop;
@@ -145,6 +152,11 @@
         trialHandler = value;
     }
 
+    /** Sets the log of what is done for items with a part that is held back. */
+    public void log(EventLog value) {
+        log = Optional.of(value);
+    }
+
     /** Sets the handler that receives the targets that have told another instance that they are leaving. */
     public void leavingHandler(Consumer<LeavingTarget> value) {
         leavingHandler = value;
@@ -304,6 +316,51 @@
         trialHandler.accept(trial);
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void isolationChanged(String service, IsolationStep step) {
+        switch (step) {
+            case IsolationStep.Wait wait -> {}
+            case IsolationStep.Run run -> {}
+            case IsolationStep.Reserve reserve ->
+                record(GatewayEvent.TARGET_RESERVED, "service", service, "target", reserve.target());
+            case IsolationStep.Release release ->
+                record(
+                        GatewayEvent.TARGET_RESERVATION_ENDED,
+                        "service",
+                        service,
+                        "target",
+                        release.target(),
+                        "reason",
+                        release.reason());
+        }
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void isolatedRunEnded(String service, String run, IsolatedRuns.Verdict verdict) {
+        record(
+                GatewayEvent.ISOLATED_RUN_ENDED,
+                "service",
+                service,
+                "target",
+                verdict.target(),
+                "run",
+                run,
+                "end",
+                verdict.end(),
+                "alone",
+                verdict.single(),
+                "confirmed",
+                verdict.confirmed(),
+                "parts",
+                String.join(",", verdict.marks()));
+    }
+
+    private void record(GatewayEvent event, Object... fields) {
+        log.ifPresent(events -> events.record(event, fields));
+    }
+
     /** Handles a message of a client on another instance. */
     private Mono<Either<Failure, byte[]>> handle(InstanceId from, byte[] request) {
         PermitCall call;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -10,11 +10,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.policy.quarantine.Crash;
+import org.tanagermoor.policy.quarantine.IsolationEnd;
 import org.tanagermoor.policy.quarantine.Quarantine;
 import org.tanagermoor.policy.rollout.Rollout;
 
@@ -45,9 +45,6 @@
     /** The granted places that are in use, by holder and number of the permit. */
     private final Map<String, Map<Long, Grant>> occupied = new HashMap<>();
 
-    /** The grants whose holders were asked to return the place. */
-    private final Set<Grant> recalled = new HashSet<>();
-
     /** Whether online requests are served by fair shares of their teams. */
     private boolean fairSharing;
 
@@ -63,6 +60,8 @@
     /** Receives the decisions on queued asks, and the recalls. */
     private final DispatchSink sink;
 
+    private final Recalls recalls;
+
     private final TeamRates rates;
 
     /** Holds back parts of prompts that crash targets. */
@@ -71,6 +70,7 @@
     private Dispatcher(DispatchSink sink, TeamRates rates, Quarantine quarantine) {
         this.sink = sink;
         this.rates = rates;
+        recalls = new Recalls(occupied, sink);
         parts = new PartGuard(quarantine, sink::quarantineChanged);
     }
 
@@ -203,6 +203,10 @@
             waiting.get().refresh(now);
             return Optional.empty();
         }
+        if (ask.batch() && !parts.heldMarks(ask.prompt()).isEmpty()) {
+            queue.suspects().waiting().add(new QueuedAsk(ask, 0, 0, now));
+            return Optional.empty();
+        }
         Optional<PlacementDecision> held = parts.refusal(ask, now);
         if (held.isPresent()) {
             return held;
@@ -237,7 +241,7 @@
             services.values().forEach(queue -> queue.remove(holder, permit));
             return;
         }
-        recalled.remove(place);
+        recalls.returned(place);
         ServiceQueue queue = queue(place.service);
         queue.rollout().ended(place, outcome, answer, now);
         TargetPlaces target = queue.places().get(place.target);
@@ -252,6 +256,8 @@
         }
         Trial.report(place, Optional.of(outcome), sink, now);
         parts.ended(place, outcome, answer, now);
+        queue.suspects().ended(place, outcome.isolationEnd(answer), sink, now);
+        isolate(place.service, queue, now);
         drain(queue, now);
     }
 
@@ -284,6 +290,7 @@
                 queue(place.service).rollout().lost(place, now);
                 Trial.report(place, Optional.of(PlaceOutcome.UNUSED), sink, now);
                 place.trial = List.of();
+                queue(place.service).suspects().ended(place, IsolationEnd.FAILED, sink, now);
                 release(holder, place.permit, PlaceOutcome.UNUSED, now);
             }
         }
@@ -323,12 +330,13 @@
         }
         permits.values().forEach(place -> {
             Trial.report(place, Optional.of(PlaceOutcome.UNUSED), sink, now);
-            recalled.remove(place);
+            recalls.returned(place);
             queue(place.service).rollout().lost(place, now);
             TargetPlaces target = queue(place.service).places().get(place.target);
             if (target != null && !place.earlierProcess) {
                 target.release(place.batch, PlaceOutcome.UNUSED, now);
             }
+            queue(place.service).suspects().ended(place, IsolationEnd.FAILED, sink, now);
         });
         services.values().forEach(queue -> {
             queue.forget(holder);
@@ -344,11 +352,13 @@
     public void tick(long now) {
         services.forEach((name, queue) -> {
             queue.observe(now);
-            recallExcluded(name, queue, now);
+            recalls.recallExcluded(grants(name), queue, now);
             refuseHeldBack(queue, queue.online(), now);
             refuseHeldBack(queue, queue.batch(), now);
             expire(queue, queue.online(), now);
             expire(queue, queue.batch(), now);
+            expire(queue, queue.suspects().waiting(), now);
+            isolate(name, queue, now);
             drain(queue, now);
             refuseOvertaken(queue, now);
         });
@@ -393,7 +403,9 @@
     /** Returns whether any ask is queued. */
     public boolean hasWaiting() {
         return services.values().stream()
-                .anyMatch(queue -> !queue.online().isEmpty() || !queue.batch().isEmpty());
+                .anyMatch(queue -> !queue.online().isEmpty()
+                        || !queue.batch().isEmpty()
+                        || !queue.suspects().waiting().isEmpty());
     }
 
     /** Returns the number of queued online requests. */
@@ -424,7 +436,7 @@
         }
         queue.add(ask, now);
         if (!ask.batch()) {
-            recallOne(queue, now);
+            recalls.recallOne(queue, now);
         }
         return Optional.empty();
     }
@@ -488,8 +500,18 @@
         }
     }
 
-    /** Refuses a queued ask if it has a part that is held back; returns whether it did. */
+    /**
+     * Refuses a queued online request that has a part that is held back, or lets such an item of a job wait for a
+     * reserved target; returns whether it did.
+     */
     private boolean refuseHeldBack(ServiceQueue queue, List<QueuedAsk> waiting, QueuedAsk next, long now) {
+        if (next.ask().batch()) {
+            boolean suspect = !parts.heldMarks(next.ask().prompt()).isEmpty();
+            if (suspect && waiting.remove(next)) {
+                queue.suspects().waiting().add(next);
+            }
+            return suspect;
+        }
         Optional<PlacementDecision> held = parts.refusal(next.ask(), now);
         if (held.isPresent() && waiting.remove(next)) {
             queue.withdrawn(next);
@@ -498,6 +520,20 @@
         return held.isPresent();
     }
 
+    /** Grants places at a reserved target to items with a part that is held back, as soon as it is their turn. */
+    private void isolate(String service, ServiceQueue queue, long now) {
+        if (!batchPaused) {
+            queue.suspects()
+                    .advance(
+                            parts,
+                            recalls,
+                            step -> sink.isolationChanged(service, step),
+                            (next, target) ->
+                                    sink.decided(next.ask(), grant(queue, next.ask(), target, next.slack(now), now)),
+                            now);
+        }
+    }
+
     /** Refuses the asks of a queue that have waited too long. */
     private void expire(ServiceQueue queue, List<QueuedAsk> waiting, long now) {
         Iterator<QueuedAsk> iterator = waiting.iterator();
@@ -520,40 +556,6 @@
                 sink.decided(next.ask(), new PlacementDecision.Refused(PlacementDecision.Reason.OVERLOADED, retry)));
     }
 
-    /** Recalls the item of a job for whose caller the loss is smallest. */
-    private void recallOne(ServiceQueue queue, long now) {
-        Predicate<Grant> excluded = queue.rollout().excluded(now);
-        Grant best = null;
-        for (Map<Long, Grant> permits : occupied.values()) {
-            for (Grant place : permits.values()) {
-                if (place.batch
-                        && queue.places().containsKey(place.target)
-                        && !excluded.test(place)
-                        && !recalled.contains(place)
-                        && (best == null || place.cheaperToRecall(best, queue.headroom(), now))) {
-                    best = place;
-                }
-            }
-        }
-        if (best != null) {
-            recalled.add(best);
-            sink.recall(best.holder, best.permit);
-        }
-    }
-
-    /** Recalls the items of jobs at targets that get no requests any more because of a roll-out. */
-    private void recallExcluded(String service, ServiceQueue queue, long now) {
-        if (queue.rollout().recallDue(now)) {
-            Predicate<Grant> excluded = queue.rollout().excluded(now);
-            for (Grant place : grants(service)) {
-                if (place.batch && excluded.test(place)) {
-                    recalled.add(place);
-                    sink.recall(place.holder, place.permit);
-                }
-            }
-        }
-    }
-
     /** Returns the granted places of a service. */
     private List<Grant> grants(String service) {
         return occupied.values().stream()
@@ -571,8 +573,10 @@
                 .withRoute(ask.traits().route());
         Grant grant = new Grant(ask.holder(), permit, ask.domain(), now);
         grant.version = place.entry().version();
-        parts.granted(grant, now);
-        Trial.report(grant, Optional.empty(), sink, now);
+        if (!place.reserved()) {
+            parts.granted(grant, now);
+            Trial.report(grant, Optional.empty(), sink, now);
+        }
         occupied.computeIfAbsent(ask.holder(), holder -> new HashMap<>()).put(ask.permit(), grant);
         queue.rollout().placed(grant, now);
         return new PlacementDecision.Granted(place.entry().id());
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PartGuard.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.tanagermoor.policy.prompt.Prompt;
 import org.tanagermoor.policy.quarantine.Crash;
 import org.tanagermoor.policy.quarantine.CrashEvidence;
 import org.tanagermoor.policy.quarantine.Quarantine;
@@ -33,6 +34,18 @@
         return !quarantine.isEmpty();
     }
 
+    /** Returns whether a mark is held back. */
+    boolean holds(String mark) {
+        return quarantine.holds(mark);
+    }
+
+    /** Returns the marks of a prompt that are held back. */
+    List<String> heldMarks(Prompt prompt) {
+        return quarantine.isEmpty()
+                ? List.of()
+                : prompt.marks().stream().filter(quarantine::holds).toList();
+    }
+
     /** Returns the refusal of an ask that has a part that is held back; empty if it may be granted a place. */
     Optional<PlacementDecision> refusal(Ask ask, long now) {
         return switch (quarantine.decide(ask.prompt(), now)) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PlaceOutcome.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/PlaceOutcome.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.tanagermoor.policy.prompt.Prompt;
+import org.tanagermoor.policy.quarantine.IsolationEnd;
 
 /** How the use of a place ended. */
 public enum PlaceOutcome {
@@ -82,13 +83,28 @@
         };
     }
 
+    /**
+     * Returns what the end of a run at a reserved target says about its prompt.
+     *
+     * @param answer How the target answered.
+     */
+    IsolationEnd isolationEnd(RunAnswer answer) {
+        return switch (this) {
+            case SERVED -> IsolationEnd.ANSWERED;
+            case CRASHED, BROKEN_OFF -> IsolationEnd.CRASHED;
+            case UNREACHABLE, FULL -> IsolationEnd.NOT_RUN;
+            case UNUSED, ABANDONED -> answer.sent() ? IsolationEnd.FAILED : IsolationEnd.WITHDRAWN;
+            case FAILED -> IsolationEnd.FAILED;
+        };
+    }
+
     /** Returns whether the target treated the request as it should. */
     boolean success() {
         return this == SERVED || this == ABANDONED;
     }
 
     /** Returns whether the target failed the request after it may have started to run it. */
-    boolean failure() {
+    public boolean failure() {
         return this == FAILED || this == CRASHED || this == BROKEN_OFF;
     }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/QueuedAsk.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/QueuedAsk.java
@@ -51,6 +51,11 @@
         return ask.permit() == permit && ask.holder().equals(holder);
     }
 
+    /** Returns the monotonic time of its arrival in nanoseconds. */
+    long arrivedAt() {
+        return arrivedAt;
+    }
+
     /** Returns how much longer it can wait and still be on time, in nanoseconds; below 0 if it is late. */
     long slack(long now) {
         return arrivedAt + ask.onTimeNanos() - now;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -61,6 +61,9 @@
     /** The queued items of jobs in the order of their arrival. */
     private final List<QueuedAsk> batch = new ArrayList<>();
 
+    /** The queued items of jobs with a part that is held back. */
+    private final Suspects suspects = new Suspects(this);
+
     /** The mean time for which an online request occupies a place, in nanoseconds. */
     private double occupancyNanos = INITIAL_OCCUPANCY_NANOS;
 
@@ -150,6 +153,7 @@
         online.removeAll(gone);
         gone.forEach(this::withdrawn);
         batch.removeIf(waiting -> waiting.ask().holder().equals(holder));
+        suspects.waiting().removeIf(waiting -> waiting.ask().holder().equals(holder));
     }
 
     /** Returns the queued online requests; changes take effect. */
@@ -162,12 +166,16 @@
         return batch;
     }
 
+    /** Returns the queued items of jobs with a part that is held back. */
+    Suspects suspects() {
+        return suspects;
+    }
+
     /** Finds a repeated ask in the queue. */
     Optional<QueuedAsk> find(Ask ask) {
-        return (ask.batch() ? batch : online)
-                .stream()
-                        .filter(waiting -> waiting.matches(ask.holder(), ask.permit()))
-                        .findFirst();
+        return (ask.batch() ? Stream.concat(batch.stream(), suspects.waiting().stream()) : online.stream())
+                .filter(waiting -> waiting.matches(ask.holder(), ask.permit()))
+                .findFirst();
     }
 
     /** Queues an ask. */
@@ -214,6 +222,7 @@
         online.stream().filter(waiting -> waiting.matches(holder, permit)).forEach(this::withdrawn);
         online.removeIf(waiting -> waiting.matches(holder, permit));
         batch.removeIf(waiting -> waiting.matches(holder, permit));
+        suspects.waiting().removeIf(waiting -> waiting.matches(holder, permit));
     }
 
     /** Returns whether an online request that can still be on time is already queued. */
@@ -261,7 +270,7 @@
     int usablePlaces(long now) {
         return places.values().stream()
                 .filter(rollout.permitted(now))
-                .filter(place -> place.usable(now))
+                .filter(place -> place.open(now))
                 .mapToInt(place -> place.places(now))
                 .sum();
     }
@@ -368,7 +377,7 @@
         int usablePlaces = usablePlaces(now) - reserve(now);
         int online = places.values().stream()
                 .filter(rollout.permitted(now))
-                .filter(place -> place.usable(now))
+                .filter(place -> place.open(now))
                 .mapToInt(TargetPlaces::online)
                 .sum();
         estimator.observe(usablePlaces <= 0 ? 0 : Math.max(0, usablePlaces - online) / (double) usablePlaces, now);
@@ -504,7 +513,7 @@
     private int free(long now) {
         return places.values().stream()
                 .filter(rollout.permitted(now))
-                .filter(place -> place.usable(now))
+                .filter(place -> place.open(now))
                 .mapToInt(place -> Math.max(0, place.free(now)))
                 .sum();
     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
@@ -38,8 +38,14 @@
     /** The fraction of the rate of a cold target that is used, since arrivals come in bunches. */
     private static final double COLD_FRACTION = 0.8;
 
+    /** How long a target that crashed under a suspect alone is avoided, in nanoseconds: it starts again meanwhile. */
+    private static final long CRASHED_AVOID_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private TargetEntry entry;
 
+    /** Whether the target is reserved for requests with a part that is held back. */
+    private boolean reserved;
+
     private int online;
 
     /** The number of places in use by items of jobs. */
@@ -175,12 +181,32 @@
         return !entry.draining() && now - avoidUntil >= 0 && places(now) > 0;
     }
 
+    /** Returns whether the target is reserved for requests with a part that is held back. */
+    boolean reserved() {
+        return reserved;
+    }
+
+    /** Reserves the target for requests with a part that is held back, or ends the reservation. */
+    void reserve(boolean value) {
+        reserved = value;
+    }
+
+    /** Returns whether the target is usable and not reserved. */
+    boolean open(long now) {
+        return usable(now) && !reserved;
+    }
+
+    /** Avoids the target, which has certainly crashed, for the time that it needs to start again. */
+    void crashedAlone(long now) {
+        avoidUntil = Math.max(avoidUntil, now + CRASHED_AVOID_NANOS);
+    }
+
     /**
-     * Returns whether a request may be sent now: the target is usable, has a free place, and is warm or below its cold
-     * rate.
+     * Returns whether a request may be sent now: the target is usable and not reserved, has a free place, and is warm
+     * or below its cold rate.
      */
     boolean available(long now) {
-        return usable(now)
+        return open(now)
                 && free(now) > 0
                 && (now - coldUntil >= 0 || cold.refill(cold.limit().burst(), now) >= 1);
     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -34,7 +34,6 @@
 import org.tanagermoor.kernel.failure.Execution;
 import org.tanagermoor.kernel.failure.Failure;
 import org.tanagermoor.policy.prompt.Prompt;
-import org.tanagermoor.policy.quarantine.QuarantineDecision;
 
 /**
  * Runs an item of a job, which this instance owns, until the item has a result. For each run it asks the dispatcher for
@@ -52,15 +51,9 @@
     /** Delay before an item runs again after a failure, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 200;
 
-    /** Maximum time after which an item whose prompt is held back checks whether it still is, in milliseconds. */
-    private static final long MAX_HOLD_MILLIS = 5_000;
-
     /** Maximum delay before an item runs again whose output was too long, in milliseconds. */
     private static final long MAX_TOO_LONG_PAUSE_MILLIS = 10_000;
 
-    /** Maximum time for which one ask waits for a place, in nanoseconds; the item asks again afterwards. */
-    private static final long MAX_WAIT_NANOS = TimeUnit.SECONDS.toNanos(10);
-
     /**
      * Silence after which a target is considered lost, in nanoseconds: many times the pause between two events of a
      * slow target.
@@ -123,8 +116,7 @@
     /** Monotonic time at which the head or a new event was last received from the target, in nanoseconds. */
     private long lastReceivedAt;
 
-    /** Whether the item waits because a part of its prompt is held back. */
-    private boolean heldBack;
+    private final ItemHold hold;
 
     /** Monotonic time at which the current run started, in nanoseconds. */
     private long startedAt;
@@ -148,6 +140,7 @@
         failures = recorded.getFailures();
         recordedEvent = lastEvent;
         recordedFailures = failures;
+        hold = new ItemHold(context, job.id(), item.getId(), prompt);
         log = new ItemLog(context, job, item.getId(), prompt, context.time().nanos());
     }
 
@@ -173,6 +166,12 @@
         return state == State.ASKING;
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public boolean heldBack() {
+        return hold.heldBack();
+    }
+
     /** Returns whether the item has progress that is not recorded. */
     boolean unrecorded() {
         return state != State.DONE && (lastEvent != recordedEvent || failures != recordedFailures);
@@ -207,21 +206,21 @@
     }
 
     /**
-     * Asks the dispatcher for a place.
+     * Asks the dispatcher for a place. While a part of the prompt is held back, the item asks only some time after a
+     * run that failed, and waits until it is its turn at a reserved target.
      *
      * @param route The route of the job.
      * @param dueNanos The time until the job is due, in nanoseconds.
      */
     void ask(Route route, long dueNanos) {
-        Optional<QuarantineDecision.Refused> held =
-                context.quarantine().refusal(prompt, context.time().nanos());
-        if (held.isPresent()) {
-            log.refused(PlacementDecision.Reason.QUARANTINED, held.get().detail());
-            holdBack(
-                    held.get().detail(),
-                    TimeUnit.NANOSECONDS.toMillis(held.get().remainingNanos()));
+        long pauseMillis = hold.pauseMillis(route, context.time().nanos());
+        if (pauseMillis > 0) {
+            pause(pauseMillis);
             return;
         }
+        if (hold.heldBack()) {
+            excluded.clear();
+        }
         state = State.ASKING;
         log.enter(ItemLog.Phase.WAITING, context.time().nanos());
         permit = context.dispatch().nextPermit();
@@ -239,7 +238,7 @@
                                         "",
                                         context.domain(),
                                         0,
-                                        MAX_WAIT_NANOS,
+                                        hold.waitNanos(route),
                                         dueNanos - work.nanos(),
                                         work,
                                         true,
@@ -289,30 +288,15 @@
                 permit = 0;
                 excluded.clear();
                 log.refused(refused.reason(), refused.detail());
-                if (refused.reason() == PlacementDecision.Reason.QUARANTINED) {
-                    holdBack(refused.detail(), refused.retryAfterMillis());
-                } else {
-                    pause(Math.max(RETRY_DELAY_MILLIS, refused.retryAfterMillis()));
-                }
+                long millis = Math.max(RETRY_DELAY_MILLIS, refused.retryAfterMillis());
+                pause(
+                        refused.reason() == PlacementDecision.Reason.QUARANTINED
+                                ? hold.refused(refused.detail(), millis)
+                                : millis);
             }
         }
     }
 
-    /**
-     * Lets the item wait, because a part of its prompt is held back.
-     *
-     * @param detail The part and the evidence against it.
-     * @param millis The time until a request with the part may be let through, in milliseconds.
-     */
-    private void holdBack(String detail, long millis) {
-        if (!heldBack) {
-            heldBack = true;
-            context.events()
-                    .record(GatewayEvent.ITEM_HELD_BACK, "request", item.getId(), "job", job.id(), "detail", detail);
-        }
-        pause(Math.min(MAX_HOLD_MILLIS, Math.max(RETRY_DELAY_MILLIS, millis)));
-    }
-
     /** Runs the item at the target with the given identity. */
     private void run(String id) {
         TargetEntry entry = context.fleet().usableTarget(id).orElse(null);
@@ -322,7 +306,7 @@
             return;
         }
         state = State.RUNNING;
-        heldBack = false;
+        hold.runStarted();
         startedAt = context.time().nanos();
         startEvent = lastEvent;
         meter = RunMeter.of(startedAt);
@@ -487,6 +471,9 @@
 
     /** Returns the permit, and lets the item ask again after a pause in milliseconds. */
     private void retry(PlaceOutcome outcome, long millis) {
+        if (outcome.failure()) {
+            hold.runFailed(context.time().nanos());
+        }
         returnPermit(outcome);
         pause(millis);
     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/quarantine/PartQuarantine.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/quarantine/PartQuarantine.java
@@ -89,6 +89,15 @@
         };
     }
 
+    /**
+     * Returns what is known of a part of a prompt that is held back; empty if none is.
+     *
+     * @param prompt The parts of the prompt.
+     */
+    public Optional<QuarantineEntry> heldBy(Prompt prompt) {
+        return quarantine.heldBy(prompt);
+    }
+
     /** Publishes a new record, which the dispatcher of this instance or an operator has made. */
     public void publish(QuarantineEntry entry) {
         record(entry, "decision");
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/CrashLoad.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/CrashLoad.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.tanagermoor.policy.prompt.Prompt;
+import org.tanagermoor.policy.quarantine.IsolatedRuns;
+import org.tanagermoor.policy.quarantine.IsolationStep;
 import org.tanagermoor.policy.quarantine.Quarantine;
 import org.tanagermoor.policy.quarantine.QuarantineEntry;
 
@@ -248,6 +250,18 @@
         }
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void isolationChanged(String service, IsolationStep step) {
+        // The load sees what is decided.
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void isolatedRunEnded(String service, String run, IsolatedRuns.Verdict verdict) {
+        // The load sees the runs themselves.
+    }
+
     /** The ways in which targets fail that crash under no request. */
     enum Fault {
         NONE,
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherFixture.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherFixture.java
@@ -11,6 +11,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.kernel.setting.Address;
+import org.tanagermoor.policy.quarantine.IsolatedRuns;
+import org.tanagermoor.policy.quarantine.IsolationStep;
 import org.tanagermoor.policy.quarantine.Quarantine;
 import org.tanagermoor.policy.quarantine.QuarantineEntry;
 
@@ -41,6 +43,12 @@
     /** The beginnings and ends of trials. */
     final List<Trial> trials = new ArrayList<>();
 
+    /** What was done for items with a part that is held back. */
+    final List<IsolationStep> isolation = new ArrayList<>();
+
+    /** What the runs of items at reserved targets showed. */
+    final List<IsolatedRuns.Verdict> verdicts = new ArrayList<>();
+
     final TeamRates rates = TeamRates.of();
 
     /** The current time in nanoseconds. */
@@ -90,6 +98,18 @@
                     public void trial(Trial trial) {
                         trials.add(trial);
                     }
+
+                    /** {@inheritDoc} */
+                    @Override
+                    public void isolationChanged(String service, IsolationStep step) {
+                        isolation.add(step);
+                    }
+
+                    /** {@inheritDoc} */
+                    @Override
+                    public void isolatedRunEnded(String service, String run, IsolatedRuns.Verdict verdict) {
+                        verdicts.add(verdict);
+                    }
                 },
                 rates,
                 Quarantine.of());
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/AskOrderTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/AskOrderTest.java
@@ -13,10 +13,19 @@
 
     /**
      * Each letter is an item: f has not started, b has started; F and B are the same, but wait for a place; r runs. All
-     * started items ask first, followed by unstarted items until four of these wait.
+     * started items ask first, followed by unstarted items until four of these wait. Items with a part that is held back
+     * (h, waiting H) kept the others from asking.
      */
     @ParameterizedTest
-    @CsvSource({"ffffff, 0123", "FFFFff, ''", "FFFFbf, 4", "FFfbbf, 3425", "bbbbbbb, 0123456", "BBBBff, 45", "rrrr, ''"
+    @CsvSource({
+        "ffffff, 0123",
+        "FFFFff, ''",
+        "FFFFbf, 4",
+        "FFfbbf, 3425",
+        "bbbbbbb, 0123456",
+        "BBBBff, 45",
+        "rrrr, ''",
+        "HHHHHffhb, 8567"
     })
     void letsStartedItemsAskFirst(String items, String positions) {
         List<Item> job = new ArrayList<>();
@@ -34,13 +43,19 @@
         /** {@inheritDoc} */
         @Override
         public boolean idle() {
-            return kind == 'f' || kind == 'b';
+            return kind == 'f' || kind == 'b' || kind == 'h';
         }
 
         /** {@inheritDoc} */
         @Override
         public boolean asking() {
-            return kind == 'F' || kind == 'B';
+            return kind == 'F' || kind == 'B' || kind == 'H';
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public boolean heldBack() {
+            return kind == 'h' || kind == 'H';
         }
 
         /** {@inheritDoc} */
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobLoad.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobLoad.java
@@ -19,6 +19,8 @@
 import org.tanagermoor.gateway.dispatch.Work;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.kernel.setting.Address;
+import org.tanagermoor.policy.quarantine.IsolatedRuns;
+import org.tanagermoor.policy.quarantine.IsolationStep;
 import org.tanagermoor.policy.quarantine.Quarantine;
 import org.tanagermoor.policy.quarantine.QuarantineEntry;
 
@@ -427,6 +429,18 @@
         public void quarantineChanged(QuarantineEntry entry) {
             throw new AssertionError("no part is held back in this simulation");
         }
+
+        /** {@inheritDoc} */
+        @Override
+        public void isolationChanged(String service, IsolationStep step) {
+            throw new AssertionError("no part is held back in this simulation");
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void isolatedRunEnded(String service, String run, IsolatedRuns.Verdict verdict) {
+            throw new AssertionError("no part is held back in this simulation");
+        }
     }
 
     /** A simulated item of a job. */
@@ -464,6 +478,12 @@
         /** The current ask, or {@code null}. */
         private Ask ask;
 
+        /** {@inheritDoc} */
+        @Override
+        public boolean heldBack() {
+            return false;
+        }
+
         Item(int job, int index, int events, long due) {
             this.job = job;
             this.index = index;
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/Quarantine.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/Quarantine.java
@@ -68,6 +68,13 @@
         return entry != null && entry.held();
     }
 
+    /** Returns what is known of a part of a prompt that is held back; empty if none is. */
+    public Optional<QuarantineEntry> heldBy(Prompt prompt) {
+        return entries.isEmpty()
+                ? Optional.empty()
+                : prompt.marks().stream().filter(this::holds).findFirst().map(entries::get);
+    }
+
     /**
      * Decides on a request by its parts. If several are held back, the one whose trial is last decides.
      *
