Reserve no target while those of the accusing crashes are down

Cause: the first target was reserved for suspects as soon as their part was held back. The crashes that accuse a part have just happened then.

--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherFixture.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherFixture.java
@@ -11,6 +11,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.kernel.setting.Address;
+import org.tanagermoor.policy.prompt.Prompt;
+import org.tanagermoor.policy.quarantine.Crash;
 import org.tanagermoor.policy.quarantine.IsolatedRuns;
 import org.tanagermoor.policy.quarantine.IsolationStep;
 import org.tanagermoor.policy.quarantine.Quarantine;
@@ -115,6 +117,26 @@
                 Quarantine.of());
     }
 
+    /** Lets a part be accused: three crashes under different requests, and answers to others. */
+    void holdBack(String part) {
+        for (int run = 0; run < 3; run++) {
+            long sentAt = now - TimeUnit.SECONDS.toNanos(9 - 2 * run);
+            dispatcher.crashed(
+                    new Crash(
+                            part + "/" + run,
+                            "z-" + run,
+                            "old-" + part + run,
+                            new Prompt(List.of("first", part), "earlier-" + run),
+                            sentAt,
+                            sentAt + TimeUnit.MILLISECONDS.toNanos(100)),
+                    now);
+        }
+        for (long permit = 900_001; permit <= 900_003; permit++) {
+            dispatcher.ask(online(permit).withPrompt(new Prompt(List.of("first"), "answered-" + permit)), now);
+            release(permit, PlaceOutcome.SERVED);
+        }
+    }
+
     /** Advances the time by the given milliseconds. */
     void advance(long millis) {
         now += TimeUnit.MILLISECONDS.toNanos(millis);
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/HeldItemsLoadTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/HeldItemsLoadTest.java
@@ -22,7 +22,6 @@
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.kernel.setting.Address;
 import org.tanagermoor.policy.prompt.Prompt;
-import org.tanagermoor.policy.quarantine.Crash;
 import org.tanagermoor.policy.quarantine.QuarantineEntry;
 
 /** Items of jobs with a part that is held back, among online requests and other items at ten targets. */
@@ -146,26 +145,9 @@
                 .toList();
     }
 
-    /** Lets the part be accused: three crashes under different requests, and answers to others. */
     private void holdBack() {
         startTargets();
-        for (int run = 0; run < 3; run++) {
-            long sentAt = now - TimeUnit.SECONDS.toNanos(9 - 2 * run);
-            dispatcher.crashed(
-                    new Crash(
-                            "z/" + run,
-                            "z-" + run,
-                            "old-" + run,
-                            prompt(PART, "earlier-" + run),
-                            sentAt,
-                            sentAt + TimeUnit.MILLISECONDS.toNanos(100)),
-                    now);
-        }
-        for (int answer = 0; answer < 3; answer++) {
-            Ask ask = ask(++permits, false, 5_000, "").withPrompt(prompt("sound", "answered-" + answer));
-            dispatcher.ask(ask, now);
-            dispatcher.release("x", permits, PlaceOutcome.SERVED, now);
-        }
+        holdBack(PART);
         assertThat(held(), is(true));
         heldAtMillis = millis();
     }
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/IsolatedRuns.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/IsolatedRuns.java
@@ -29,7 +29,10 @@
     /** The time in nanoseconds for which suspects of which nothing is to be learnt wait for others to run with. */
     static final long GATHER_NANOS = Duration.ofSeconds(2).toNanos();
 
-    /** The time from a crash to the next reservation, in nanoseconds: a target needs it to start again. */
+    /**
+     * The time from a crash to the next reservation, in nanoseconds: a target needs it to start again. A mark that is
+     * new among the suspects counts as a crash, since those that accused it have just happened.
+     */
     static final long RESTART_NANOS = Duration.ofSeconds(3).toNanos();
 
     /**
@@ -85,6 +88,9 @@
     /** The requests that crashed their target when they were alone there, by held mark. */
     private final Map<String, Set<String>> crashed = bounded();
 
+    /** The held marks that suspects have had. */
+    private final Map<String, Long> seenAt = bounded();
+
     /** When each target failed a suspect, in nanoseconds, by identity. */
     private final Map<String, Long> failedAt = bounded();
 
@@ -129,6 +135,14 @@
     public IsolationStep next(
             Collection<Suspect> waiting, Collection<Target> targets, Demand demand, Predicate<String> held, long now) {
         running.values().removeIf(run -> run.suspect.marks().stream().noneMatch(held));
+        seenAt.keySet().removeIf(mark -> !held.test(mark));
+        for (Suspect suspect : waiting) {
+            for (String mark : suspect.marks()) {
+                if (seenAt.putIfAbsent(mark, now) == null) {
+                    crashedAt = now;
+                }
+            }
+        }
         List<Suspect> suspects = waiting.stream()
                 .sorted(Comparator.comparingLong(suspect -> suspect.since() - now))
                 .toList();
--- a/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/IsolatedRunsTest.java
+++ b/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/IsolatedRunsTest.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.IntStream;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -41,6 +42,27 @@
 
     private long now = Duration.ofSeconds(100).toNanos();
 
+    /** Lets the targets start again whose crashes have accused the part. */
+    @BeforeEach
+    void startTargets() {
+        add("0");
+        next();
+        waiting.clear();
+        advance(IsolatedRuns.RESTART_NANOS);
+    }
+
+    /** A target was reserved while those were still down whose crashes had just accused the mark. */
+    @Test
+    void waitsForTheTargetsWhoseCrashesAccusedTheMark() {
+        held.add("other");
+        waiting.add(new IsolatedRuns.Suspect("1", "1", List.of("other"), Set.of(), now));
+        assertThat(next(), is(instanceOf(IsolationStep.Wait.class)));
+        advance(IsolatedRuns.RESTART_NANOS - 1);
+        assertThat(next(), is(instanceOf(IsolationStep.Wait.class)));
+        advance(1);
+        assertThat(next(), is(instanceOf(IsolationStep.Reserve.class)));
+    }
+
     /** One suspect at a time runs until two requests have crashed targets; then as many as fit. */
     @Test
     void runsSuspectsTogetherOnceTwoRequestsHaveCrashedTargets() {
