Count no isolated run among the places that can be recalled

Cause: the wait that a new online request expects counted the places of all items of jobs as soon free. A run at a reserved target is never recalled, so the request waited for it and was late.

Change: ServiceQueue.batchPlaces leaves reserved targets out.

Measured: SuspectsTest.refusesWhatOnlyAnIsolatedRunCouldMakeRoomFor fails on (NoSuchElement: the request is queued) and passes now, with the other 63 tests of HeldItemsLoadTest, SuspectsTest, PartGuardTest and DispatcherTest.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -278,7 +278,7 @@
     /** Returns the number of places in use by items of jobs at targets for any request. */
     int batchPlaces(long now) {
         return places.values().stream()
-                .filter(rollout.permitted(now))
+                .filter(rollout.permitted(now).and(place -> !place.reserved()))
                 .mapToInt(TargetPlaces::batch)
                 .sum();
     }
