Keep a target reserved for longer where requests last for long

Cause: a reserved target whose other requests did not end within 10 s was given up for another one, for which the 10 s began anew. Where each target always has an online request that lasts longer, no item with a part that is held back ever ran, and one target after the other was kept from online requests in vain.

Change: the time doubles with each target that is given up, until one has become free.

IsolatedRunsTest.runsSuspectsWhereOnlineRequestsLastForLong on the code before, 3 of 4 cases (11, 25 and 45 s), no run in 10 minutes: Expected: is a value less than <44000000000L> but: <600000000000L> was greater than <44000000000L>

--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/IsolatedRuns.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/IsolatedRuns.java
@@ -20,9 +20,15 @@
  */
 public final class IsolatedRuns {
 
-    /** The maximum time in nanoseconds that the other requests of a reserved target may take to end. */
+    /**
+     * The time in nanoseconds that the other requests of a reserved target may take to end. It doubles with each target
+     * that is given up in vain, so that one is free in the end however long requests last.
+     */
     static final long MAX_DRAIN_NANOS = Duration.ofSeconds(10).toNanos();
 
+    /** The time in nanoseconds beyond which that time does not grow. */
+    private static final long LONGEST_DRAIN_NANOS = Duration.ofHours(1).toNanos();
+
     /** The maximum time in nanoseconds for which a suspect waits because online requests need all targets. */
     static final long MAX_DEFERRAL_NANOS = Duration.ofSeconds(5).toNanos();
 
@@ -71,6 +77,9 @@
     /** The monotonic time of the reservation in nanoseconds. */
     private long reservedAt;
 
+    /** The time in nanoseconds that the other requests of the reserved target may take to end. */
+    private long maxDrainNanos = MAX_DRAIN_NANOS;
+
     /** Whether all other requests of the reserved target have ended. */
     private boolean alone;
 
@@ -204,13 +213,15 @@
             return new IsolationStep.Wait();
         }
         if (!alone && current.get().inUse() > 0) {
-            if (now - reservedAt <= MAX_DRAIN_NANOS) {
+            if (now - reservedAt <= maxDrainNanos) {
                 return new IsolationStep.Wait();
             }
+            maxDrainNanos = Math.min(2 * maxDrainNanos, LONGEST_DRAIN_NANOS);
             failedAt.put(reserved, now);
             return release(reserved, "its other requests did not end");
         }
         alone = true;
+        maxDrainNanos = MAX_DRAIN_NANOS;
         return run(reserved, suspects, current.get(), now);
     }
 
--- a/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/IsolatedRunsTest.java
+++ b/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/IsolatedRunsTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 
 import java.time.Duration;
@@ -19,6 +20,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Which suspects run at which reserved target, and when. */
 final class IsolatedRunsTest {
@@ -142,6 +144,27 @@
         assertThat(next(), is(new IsolationStep.Reserve("b")));
     }
 
+    /** Suspects never ran where online requests last longer than a target was kept for them. */
+    @ParameterizedTest
+    @ValueSource(ints = {9, 11, 25, 45})
+    void runsSuspectsWhereOnlineRequestsLastForLong(int onlineSeconds) {
+        add("1");
+        long start = now;
+        long reservedAt = now;
+        IsolationStep step = next();
+        while (!(step instanceof IsolationStep.Run)
+                && now - start < Duration.ofMinutes(10).toNanos()) {
+            reservedAt = step instanceof IsolationStep.Reserve ? now : reservedAt;
+            boolean ended =
+                    now - reservedAt >= Duration.ofSeconds(onlineSeconds).toNanos();
+            others.replaceAll((target, inUse) -> ended && target.equals(reserved) ? 0 : 1);
+            advance(Duration.ofMillis(100).toNanos());
+            step = next();
+        }
+        assertThat(
+                now - start, is(lessThan(Duration.ofSeconds(4L * onlineSeconds).toNanos())));
+    }
+
     /** Online requests that wait, or would, go first for a bounded time. */
     @ParameterizedTest
     @CsvSource({"true, 8", "false, 3"})
