Wait for the restart of a crashed target in small services

Cause: when suspects had waited for 5 s, or were more than fit into a target, the next target was reserved 1.5 s after a crash, although a target needs 3 s to start again. Up to three targets were thus out of use: all of a service with two or three, and half of one with six.

Change: the shorter pause holds for services with 7 usable targets or more.

IsolatedRunsTest.waitsForTheRestartInASmallService on the code before, all 4 cases: Expected: is an instance of org.tanagermoor.policy.quarantine.IsolationStep$Wait but: <Reserve[target=t-1]> is a org.tanagermoor.policy.quarantine.IsolationStep$Reserve

IsolatedRunsTest.goesOnSoonerWhenSuspectsHaveWaitedForLong had four targets and demanded the shorter pause there; it now has more, with the same bound.

One target that is down and one that is reserved remain possible.

--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/IsolatedRuns.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/IsolatedRuns.java
@@ -47,6 +47,12 @@
      */
     static final long BACKLOG_PAUSE_NANOS = Duration.ofMillis(1_500).toNanos();
 
+    /**
+     * The number of targets from which on this is so: with two that start again and one that is reserved, more than
+     * half of the targets are left to online requests.
+     */
+    static final int BACKLOG_TARGETS = 7;
+
     /**
      * The time in nanoseconds after which a run that is alone at its target shows that the target bears it so far: a
      * target that cannot bear a prompt crashes when it reads it or makes the first event.
@@ -168,7 +174,8 @@
         if (confirmed(first.marks()) && now - first.since() < GATHER_NANOS && fitting) {
             return new IsolationStep.Wait();
         }
-        long pauseNanos = overdue || !fitting ? BACKLOG_PAUSE_NANOS : RESTART_NANOS;
+        boolean backlog = (overdue || !fitting) && targets.size() >= BACKLOG_TARGETS;
+        long pauseNanos = backlog ? BACKLOG_PAUSE_NANOS : RESTART_NANOS;
         if (crashedAt != null && now - crashedAt < pauseNanos) {
             return new IsolationStep.Wait();
         }
--- a/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/IsolatedRunsTest.java
+++ b/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/IsolatedRunsTest.java
@@ -230,6 +230,7 @@
     /** Suspects that have waited for long do not wait for the restart of the target. */
     @Test
     void goesOnSoonerWhenSuspectsHaveWaitedForLong() {
+        IntStream.range(0, IsolatedRuns.BACKLOG_TARGETS).forEach(number -> others.put("t-" + number, 0));
         add("1", "2");
         advance(IsolatedRuns.MAX_DEFERRAL_NANOS);
         runs.ended(started().get(0), IsolationEnd.CRASHED, now);
@@ -238,6 +239,22 @@
         assertThat(next(), is(not(instanceOf(IsolationStep.Wait.class))));
     }
 
+    /** The last targets of a small service went down one after the other before the first was back. */
+    @ParameterizedTest
+    @CsvSource({"2, 2", "2, 9", "3, 9", "6, 9"})
+    void waitsForTheRestartInASmallService(int targets, int suspects) {
+        others.clear();
+        IntStream.range(0, targets).forEach(number -> others.put("t-" + number, 0));
+        IntStream.range(0, suspects).forEach(number -> add(Integer.toString(number)));
+        advance(IsolatedRuns.MAX_DEFERRAL_NANOS);
+        runs.ended(started().get(0), IsolationEnd.CRASHED, now);
+        next();
+        advance(IsolatedRuns.RESTART_NANOS - 1);
+        assertThat(next(), is(instanceOf(IsolationStep.Wait.class)));
+        advance(1);
+        assertThat(next(), is(instanceOf(IsolationStep.Reserve.class)));
+    }
+
     /** Three attempts in a minute: each is offered a run at least each 20 s, and crashes no target more often. */
     @ParameterizedTest
     @CsvSource({"60, 3, 16000", "60, 1, 48000", "60, 0, 48000"})
