End a reservation although an item is withdrawn while others start

Cause: the runs of a group count as started before their places are granted, one after the other. If the decision on one withdrew the ask of another, the run of that one never ended, and after a crash or another failure of the first its target stayed reserved for ever, and no other item with a part that is held back ran. By reading, no holder does this today: a holder at the dispatcher's instance handles the decision at once, but none of what it does then withdraws another ask.

Change: a run whose ask is gone ends as withdrawn.

SuspectsTest.endsTheReservationAlthoughAnItemIsWithdrawnMeanwhile on the code before, all 4 cases: Expected: is an instance of org.tanagermoor.policy.quarantine.IsolationStep$Release but: <Reserve[target=c]> is a org.tanagermoor.policy.quarantine.IsolationStep$Reserve

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Suspects.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Suspects.java
@@ -72,7 +72,7 @@
             returnReleased(parts);
             IsolationStep step = next(parts, now);
             while (!(step instanceof IsolationStep.Wait)) {
-                take(step, recalls, onChange, grant);
+                take(step, recalls, onChange, grant, now);
                 returnReleased(parts);
                 step = next(parts, now);
             }
@@ -86,7 +86,8 @@
             IsolationStep step,
             Recalls recalls,
             Consumer<IsolationStep> onChange,
-            BiConsumer<QueuedAsk, TargetPlaces> grant) {
+            BiConsumer<QueuedAsk, TargetPlaces> grant,
+            long now) {
         switch (step) {
             case IsolationStep.Wait wait -> {}
             case IsolationStep.Reserve reserve -> {
@@ -94,14 +95,7 @@
                 recalls.recallAt(reserve.target());
                 onChange.accept(step);
             }
-            case IsolationStep.Run run -> {
-                for (QueuedAsk next : List.copyOf(waiting)) {
-                    TargetPlaces target = queue.places().get(run.target());
-                    if (target != null && run.runs().contains(run(next.ask())) && waiting.remove(next)) {
-                        grant.accept(next, target);
-                    }
-                }
-            }
+            case IsolationStep.Run run -> run(run, grant, now);
             case IsolationStep.Release release -> {
                 reserve(release.target(), false);
                 onChange.accept(step);
@@ -109,6 +103,20 @@
         }
     }
 
+    /** Grants places to suspects; the run of one that was withdrawn meanwhile has ended. */
+    private void run(IsolationStep.Run step, BiConsumer<QueuedAsk, TargetPlaces> grant, long now) {
+        List<String> withdrawn = new ArrayList<>(step.runs());
+        for (QueuedAsk next : List.copyOf(waiting)) {
+            TargetPlaces target = queue.places().get(step.target());
+            String run = run(next.ask());
+            if (target != null && step.runs().contains(run) && waiting.remove(next)) {
+                withdrawn.remove(run);
+                grant.accept(next, target);
+            }
+        }
+        withdrawn.forEach(run -> isolated.ended(run, IsolationEnd.WITHDRAWN, now));
+    }
+
     private void reserve(String target, boolean value) {
         TargetPlaces place = queue.places().get(target);
         if (place != null) {
