Keep the rate of a cold target when suspects run together

Cause: places at a reserved target were granted without regard to the rate that it takes while it is cold, and targets that have just crashed are cold. A group got as many places at once as the target has.

Change: a run starts when the rate of the target admits it.

IsolatedRunsTest only follows the record.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Suspects.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Suspects.java
@@ -158,6 +158,7 @@
                 place.online(),
                 place.online() + place.batch(),
                 place.places(now),
+                place.admitted(now),
                 place.reserved(),
                 place.suspected("", now) || !place.atFullRate(now));
     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
@@ -211,6 +211,13 @@
                 && (now - coldUntil >= 0 || cold.refill(cold.limit().burst(), now) >= 1);
     }
 
+    /** Returns how many requests may be sent now at the rate of a cold target. */
+    int admitted(long now) {
+        return atFullRate(now)
+                ? Integer.MAX_VALUE
+                : (int) cold.refill(cold.limit().burst(), now);
+    }
+
     /** Returns whether the target accepts requests at any rate, because it is warm or its service has no cold rate. */
     boolean atFullRate(long now) {
         return now - coldUntil >= 0 || unlimited;
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/ReservedTargetTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/ReservedTargetTest.java
@@ -1,6 +1,8 @@
 package org.tanagermoor.gateway.dispatch;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.both;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -10,6 +12,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -74,6 +77,30 @@
         assertThat(grantMillis(13, OFFER_MILLIS), is(lessThanOrEqualTo(OFFER_MILLIS)));
     }
 
+    /** Items that ran together exceeded the rate of a cold target. */
+    @Test
+    void keepsTheRateOfAColdTarget() {
+        start(target("a", 8, 0), target("b", 8, 0), target("c", 8, 0));
+        holdBack();
+        confirm();
+        targets.clear();
+        start(cold("a"), cold("b"), cold("c"));
+        advance(5_000);
+        long[] permits = LongStream.range(11, 19).toArray();
+        Arrays.stream(permits).forEach(this::ask);
+        for (int tick = 0; tick < 5_000 / TICK_MILLIS; tick++) {
+            advance(TICK_MILLIS);
+            dispatcher.tick(now);
+            if (tick % 40 == 0) {
+                Arrays.stream(permits).forEach(this::ask);
+            }
+        }
+        long granted = Arrays.stream(permits)
+                .filter(permit -> decisions.get(permit) instanceof PlacementDecision.Granted)
+                .count();
+        assertThat(granted, is(both(greaterThan(0L)).and(lessThanOrEqualTo(6L))));
+    }
+
     /** Lets two items crash a target each. */
     private void confirm() {
         for (long permit = 1; permit <= 2; permit++) {
@@ -85,6 +112,13 @@
         assertThat(verdicts.get(verdicts.size() - 1).confirmed(), is(true));
     }
 
+    /** Returns the entry of a target that has started again and takes one request a second. */
+    private static TargetEntry cold(String id) {
+        TargetEntry entry = target(id, 8, 60_000);
+        return new TargetEntry(
+                id, entry.service(), entry.address(), entry.domain(), entry.capacity(), false, 60_000, 1);
+    }
+
     private void start(TargetEntry... added) {
         targets.addAll(Arrays.asList(added));
         dispatcher.targets(targets, service -> 1, now);
--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/IsolatedRuns.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/IsolatedRuns.java
@@ -247,7 +247,11 @@
         if (!survived) {
             common.removeIf(mark -> !confirmed(List.of(mark)));
         }
-        int places = Math.max(running.isEmpty() ? 1 : 0, current.places() - current.inUse());
+        int places =
+                Math.min(current.admitted(), Math.max(running.isEmpty() ? 1 : 0, current.places() - current.inUse()));
+        if (places <= 0) {
+            return new IsolationStep.Wait();
+        }
         List<Suspect> chosen = common.isEmpty()
                 ? (running.isEmpty() ? List.of(leader) : List.of())
                 : able.stream()
@@ -342,10 +346,12 @@
      * @param online The number of its places that online requests use.
      * @param inUse The number of its places in use.
      * @param places The number of its places.
+     * @param admitted The number of further requests that its rate admits now.
      * @param reserved Whether it is still reserved; one that has started again is not.
      * @param doubtful Whether others are preferable.
      */
-    public record Target(String id, int online, int inUse, int places, boolean reserved, boolean doubtful) {}
+    public record Target(
+            String id, int online, int inUse, int places, int admitted, boolean reserved, boolean doubtful) {}
 
     /**
      * What online requests need.
--- a/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/IsolatedRunsTest.java
+++ b/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/IsolatedRunsTest.java
@@ -281,6 +281,7 @@
                         entry.getValue(),
                         entry.getValue() + running(entry.getKey()),
                         PLACES,
+                        Integer.MAX_VALUE,
                         entry.getKey().equals(reserved),
                         false))
                 .toList();
