Run items that are held back where a single target can be used

Cause: no target is reserved if it is the only one that can be used, and trials of items were for services with a single target only. In a service whose other targets drain, cannot be reached or get no requests because of a roll-out, an item with a part that is held back was not run in either way. In a service with a single target, an item that excludes it kept those behind it from their trials.

Change: trials of items are let through as well where no second target could be used for 5 s, and for the first items that do not exclude the target.

What remains: these trials come ever more rarely, after 3 s, 10 s, 30 s and so on for all requests with the part, so that an item of such a service may still wait until the time for its job is over.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Suspects.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Suspects.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import org.tanagermoor.policy.prompt.Prompt;
 import org.tanagermoor.policy.quarantine.IsolatedRuns;
 import org.tanagermoor.policy.quarantine.IsolationEnd;
@@ -16,6 +18,9 @@
  */
 final class Suspects {
 
+    /** The time in nanoseconds after which a service whose other targets cannot be used counts as one without them. */
+    private static final long SINGLE_NANOS = TimeUnit.SECONDS.toNanos(5);
+
     private final ServiceQueue queue;
 
     /** The queued asks in the order of their arrival. */
@@ -23,6 +28,9 @@
 
     private final IsolatedRuns isolated = IsolatedRuns.of();
 
+    /** The monotonic time in nanoseconds since which at most one target can be used; empty if more can. */
+    private OptionalLong singleSince = OptionalLong.empty();
+
     /** Whether a step is being taken: what it causes must not take another one. */
     private boolean stepping;
 
@@ -64,7 +72,11 @@
             Consumer<IsolationStep> onChange,
             BiConsumer<QueuedAsk, TargetPlaces> grant,
             long now) {
-        if ((waiting.isEmpty() && isolated.isIdle()) || stepping) {
+        if (stepping) {
+            return;
+        }
+        if (waiting.isEmpty() && isolated.isIdle()) {
+            singleSince = OptionalLong.empty();
             return;
         }
         stepping = true;
@@ -125,11 +137,7 @@
     }
 
     private IsolationStep next(PartGuard parts, long now) {
-        Predicate<TargetPlaces> permitted = queue.rollout().permitted(now);
-        List<TargetPlaces> usable = queue.places().values().stream()
-                .filter(permitted)
-                .filter(place -> place.usable(now))
-                .toList();
+        List<TargetPlaces> usable = usable(now);
         int spare = usable.stream()
                 .filter(place -> !place.reserved())
                 .mapToInt(place -> place.places(now) - place.online())
@@ -142,6 +150,13 @@
                 now);
     }
 
+    private List<TargetPlaces> usable(long now) {
+        return queue.places().values().stream()
+                .filter(queue.rollout().permitted(now))
+                .filter(place -> place.usable(now))
+                .toList();
+    }
+
     private static IsolatedRuns.Suspect suspect(QueuedAsk next, PartGuard parts) {
         Prompt prompt = next.ask().prompt();
         return new IsolatedRuns.Suspect(
@@ -163,18 +178,32 @@
                 place.suspected("", now) || !place.atFullRate(now));
     }
 
-    /** Lets an item run as a trial if one is due and the service has no second target, so that none can be reserved. */
+    /**
+     * Lets items run as trials that are due if no second target can be used, so that none can be reserved. Where the
+     * service has others, these may be back soon, and the trial could cost the last one.
+     */
     private void tryAtSingleTarget(PartGuard parts, BiConsumer<QueuedAsk, TargetPlaces> grant, long now) {
-        if (queue.places().size() != 1 || waiting.isEmpty()) {
+        if (!isolated.isIdle() || !single(now)) {
             return;
         }
-        QueuedAsk next = waiting.get(0);
-        if (parts.refusal(next.ask(), now).isEmpty()) {
-            queue.choose(next.ask(), now).ifPresent(target -> {
-                waiting.remove(next);
-                grant.accept(next, target);
-            });
+        for (QueuedAsk next : List.copyOf(waiting)) {
+            Optional<TargetPlaces> target =
+                    parts.refusal(next.ask(), now).isEmpty() ? queue.choose(next.ask(), now) : Optional.empty();
+            if (target.isPresent() && waiting.remove(next)) {
+                grant.accept(next, target.get());
+            }
+        }
+    }
+
+    private boolean single(long now) {
+        if (usable(now).size() > 1) {
+            singleSince = OptionalLong.empty();
+            return false;
+        }
+        if (singleSince.isEmpty()) {
+            singleSince = OptionalLong.of(now);
         }
+        return queue.places().size() == 1 || now - singleSince.getAsLong() >= SINGLE_NANOS;
     }
 
     /**
