Refuse an item that excludes all usable targets after 2 s

An item leaves out the targets at which its last runs failed until an ask is refused. If it had failed at all usable targets it waited beside free places until its ask expired after 10 s, which is longer than an item may be left without a target. The dispatcher refuses such an ask after 2 s, and the item asks again for any target.

DispatcherTest.refusesAnItemThatExcludesAllUsableTargets (3 s) on the code before, one of two cases: Expected: is <true> but: was <false>

Result: DispatcherTest 34, DispatcherLoadTest 10, FairShareLoadTest 9, TargetPaceLoadTest 8, PartGuardLoadTest 96, PartGuardTest 15, RolloutPlacementTest 32, LeftPlacesTest 5, DispatchClientTest 16, JobLoadTest 20, JobsTest 67, none failed.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -1,10 +1,8 @@
 package org.tanagermoor.gateway.dispatch;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -36,6 +34,9 @@
     /** The same for an item of a job, whose holder repeats the ask once a second. */
     private static final long BATCH_ASK_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+    /** How long an item of a job waits if it excludes all usable targets, in nanoseconds; it then asks for any. */
+    private static final long EXCLUDED_WAIT_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     /** The time after which a caller is told to come back when no target is known, in milliseconds. */
     private static final long NO_TARGET_RETRY_MILLIS = 500;
 
@@ -534,18 +535,16 @@
         }
     }
 
-    /** Refuses the asks of a queue that have waited too long. */
+    /** Refuses the asks of a queue that have waited too long, or for no target. */
     private void expire(ServiceQueue queue, List<QueuedAsk> waiting, long now) {
-        Iterator<QueuedAsk> iterator = waiting.iterator();
-        List<QueuedAsk> expired = new ArrayList<>();
-        while (iterator.hasNext()) {
-            QueuedAsk next = iterator.next();
-            if (next.expired(now, next.ask().batch() ? BATCH_ASK_TIMEOUT_NANOS : ASK_TIMEOUT_NANOS)) {
-                iterator.remove();
-                queue.withdrawn(next);
-                expired.add(next);
-            }
-        }
+        List<QueuedAsk> expired = waiting.stream()
+                .filter(next -> next.expired(now, next.ask().batch() ? BATCH_ASK_TIMEOUT_NANOS : ASK_TIMEOUT_NANOS)
+                        || (next.ask().batch()
+                                && now - next.arrivedAt() > EXCLUDED_WAIT_NANOS
+                                && queue.rollout().excludesAll(next.ask(), now)))
+                .toList();
+        waiting.removeAll(expired);
+        expired.forEach(queue::withdrawn);
         refuseOverloaded(queue, expired, now);
     }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/RolloutPlacement.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/RolloutPlacement.java
@@ -110,6 +110,17 @@
         return target -> versions.test(target.entry().version());
     }
 
+    /** Returns whether an ask excludes all usable targets that may get any request, of which there are some. */
+    boolean excludesAll(Ask ask, long now) {
+        List<TargetPlaces> usable = places.values().stream()
+                .filter(permitted(now))
+                .filter(place -> place.usable(now))
+                .toList();
+        return !usable.isEmpty()
+                && usable.stream()
+                        .allMatch(place -> ask.excluded().contains(place.entry().id()));
+    }
+
     /** Returns which targets may get requests, including those that only some requests are offered to. */
     Predicate<TargetPlaces> serving(long now) {
         return phase(now) instanceof RolloutPhase.Canary ? target -> true : permitted(now);
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatcherTest.java
@@ -133,6 +133,26 @@
         assertThat(decisions.get(10L), is(new PlacementDecision.Granted("b")));
     }
 
+    /** An item that had failed at all usable targets waited for 10 s beside free places. */
+    @ParameterizedTest
+    @CsvSource({"2, true", "3, false"})
+    void refusesAnItemThatExcludesAllUsableTargets(int targets, boolean refused) {
+        dispatcher.targets(
+                List.of(target("a", 4, 0), target("b", 4, 0), target("c", 4, 0)).subList(0, targets),
+                service -> 0,
+                now);
+        for (long permit = 1; targets == 3 && permit <= 4; permit++) {
+            dispatcher.ask(excluding(online(permit), "a", "b"), now);
+        }
+        Ask item = excluding(item(10, 5_000), "a", "b");
+        for (int step = 0; step < 60; step++) {
+            dispatcher.ask(item, now);
+            advance(50);
+            dispatcher.tick(now);
+        }
+        assertThat(decisions.containsKey(10L), is(refused));
+    }
+
     /** An online request takes the place of an item that is late anyway, else of the item that can wait longest. */
     @Test
     void recallsTheItemWithTheSmallestLoss() {
