Exclude a target that the owner of an item does not know

The dispatcher may grant a place at a target that the instance of the item does not hold for usable, as their views of the fleet differ for a while. The item returned the place and asked again without excluding the target, and was given the same one again, as it has the lowest load. An online request excludes it already.

JobsTest.runsAnItemAtAnotherTargetThanOneThatItsOwnerDoesNotKnow on the code before, both cases: Expected: a collection containing "0" but: was null

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -302,6 +302,7 @@
         TargetEntry entry = context.fleet().usableTarget(id).orElse(null);
         if (entry == null) {
             log.refused(PlacementDecision.Reason.NO_TARGET, id + " is not usable here");
+            excluded.add(id);
             retry(PlaceOutcome.UNUSED, RETRY_DELAY_MILLIS);
             return;
         }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -265,6 +265,21 @@
         assertThat(recorded.getOrDefault(GatewayEvent.ITEM_WAITING, List.of()), hasSize(lines));
     }
 
+    /** An item was given the same target again and again, which its owner does not know, and ran nowhere. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5})
+    void runsAnItemAtAnotherTargetThanOneThatItsOwnerDoesNotKnow(int unknown) {
+        List<TargetEntry> targets = new ArrayList<>();
+        for (int number = 0; number < unknown; number++) {
+            targets.add(new TargetEntry("unknown-" + number, "s", ADDRESS, "lisbon", 100, false, 0, 0));
+        }
+        targets.addAll(fleet.usable());
+        server.dispatcher().targets(targets, service -> 0, now);
+        submit(1);
+        advance(3_000);
+        assertThat(recorded.get(GatewayEvent.REQUEST_PLACED), hasItem("0"));
+    }
+
     /** A job whose take-over does not succeed is logged once, by the instance that should run it. */
     @ParameterizedTest
     @CsvSource({"1500, 0", "2500, 1", "30000, 1"})
