Give items up whose route is gone when their time is over

Cause: a job whose batch route is no longer in the configuration neither asked for places nor ended, since the time for it is a limit of the route; nothing bounded the wait, and ITEM_WAITING named such items like those behind others of their job.

Change: the limits of the route when it was last seen hold until it returns, and JOB_NOT_RUN says after 2 s that the route is gone.

JobsTest.abandonsItemsWhoseRouteIsGoneWhenTheirTimeIsOver on the code before, 3 of 3 cases: Expected: iterable with items ["0", "1", "2"] in any order but: was null

Result: JobsTest 70 and the other tests of the package of jobs, none failed. What remains: an instance that takes such a job over after the route is gone does not know its limits, and waits as before; and a job is not given up before its time is over, although the end of its route would be a reason.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
@@ -44,8 +44,8 @@
      */
     private static final long PROGRESS_INTERVAL_MILLIS = 1_500;
 
-    /** Time after which it is logged that the items of a job have not been loaded, in nanoseconds. */
-    private static final long LOAD_DELAY_NANOS = TimeUnit.SECONDS.toNanos(2);
+    /** Time after which it is logged that a job cannot be run, in nanoseconds. */
+    private static final long DELAY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     /** Minimum time between two records of items that wait without asking, in nanoseconds. */
     private static final long UNASKED_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
@@ -103,8 +103,14 @@
     /** Monotonic time at which this instance became the owner, in nanoseconds. */
     private final long startedAt;
 
-    /** Whether it has been logged that the items have not been loaded for long. */
-    private boolean loadDelayRecorded;
+    /** Route of the job when it was last there; its limits hold until it returns. */
+    private Optional<Route> lastRoute = Optional.empty();
+
+    /** Monotonic time in nanoseconds at which the job could last be run: its items were loaded and its route there. */
+    private long runnableAt;
+
+    /** Whether it has been logged since then that it cannot. */
+    private boolean delayRecorded;
 
     /** Monotonic time in nanoseconds at which the wait of an item that did not ask was last logged. */
     private long unaskedRecordedAt;
@@ -117,6 +123,7 @@
         startedAt = context.time().nanos();
         progressWrittenAt = startedAt;
         unaskedRecordedAt = startedAt;
+        runnableAt = startedAt;
         readFailures = new StepFailures(context, id(), "resume");
         writeFailures = new StepFailures(context, id(), "record");
     }
@@ -263,7 +270,7 @@
             return;
         }
         List.copyOf(items.values()).forEach(item -> item.check(now));
-        recordLoadDelay(now);
+        recordDelay(now);
         boolean due = now - progressWrittenAt >= TimeUnit.MILLISECONDS.toNanos(PROGRESS_INTERVAL_MILLIS);
         if (due && loaded && !writing && items.values().stream().anyMatch(ItemRun::unrecorded)) {
             writing = true;
@@ -271,10 +278,13 @@
         }
     }
 
-    /** Logs once that the items have not been read for long. */
-    private void recordLoadDelay(long now) {
-        if (!loaded && !loadDelayRecorded && now - startedAt >= LOAD_DELAY_NANOS) {
-            loadDelayRecorded = true;
+    /** Logs once that for long the items have not been read, or the route has been gone. */
+    private void recordDelay(long now) {
+        if (loaded && route().isPresent()) {
+            runnableAt = now;
+            delayRecorded = false;
+        } else if (!delayRecorded && now - runnableAt >= DELAY_NANOS) {
+            delayRecorded = true;
             context.events()
                     .record(
                             GatewayEvent.JOB_NOT_RUN,
@@ -285,7 +295,7 @@
                             "owner",
                             job.row().getOwner(),
                             "reason",
-                            "its items have not been read",
+                            loaded ? "its route is gone" : "its items have not been read",
                             "version",
                             job.version());
         }
@@ -327,12 +337,15 @@
             return;
         }
         Optional<Route> route = route();
+        lastRoute = route.or(() -> lastRoute);
         long nowMillis = context.time().wallMillis();
-        if (route.isEmpty()) {
+        if (lastRoute.isPresent()
+                && nowMillis - job.row().getAcceptedMillis()
+                        > lastRoute.get().batch().abandonMillis()) {
+            List.copyOf(items.values()).forEach(item -> item.abandon("the time for the job is over"));
             return;
         }
-        if (nowMillis - job.row().getAcceptedMillis() > route.get().batch().abandonMillis()) {
-            List.copyOf(items.values()).forEach(item -> item.abandon("the time for the job is over"));
+        if (route.isEmpty()) {
             return;
         }
         long due = TimeUnit.MILLISECONDS.toNanos(dueMillis(route.get(), nowMillis));
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -300,6 +300,19 @@
         assertThat(store.read("j").block().get().get().row().getRecorded(), is(5));
     }
 
+    /** Items of a job whose route was removed were neither run nor given up, and nothing was logged. */
+    @ParameterizedTest
+    @ValueSource(longs = {1_000, 30_000, ABANDON_MILLIS - 4_000})
+    void abandonsItemsWhoseRouteIsGoneWhenTheirTimeIsOver(long removedMillis) {
+        server.dispatcher().targets(List.of(), service -> 0, now);
+        submit(3);
+        advance(removedMillis);
+        fleet.operatorChanged(List.of(new ChangeFeed.Change("config", 3, new byte[1])));
+        advance(ABANDON_MILLIS + 3_000 - removedMillis);
+        assertThat(recorded.get(GatewayEvent.ITEM_ABANDONED), containsInAnyOrder("0", "1", "2"));
+        assertThat(recorded.get(GatewayEvent.JOB_NOT_RUN), contains("j"));
+    }
+
     /**
      * All items of a job are given up at once on a thread with a stack as small as that of an instance, however many
      * there are. The calls were nested once for each item.
@@ -895,8 +908,9 @@
         /** {@inheritDoc} */
         @Override
         public Either<Failure, FleetConfiguration> configuration(byte[] value) {
-            return Either.right(
-                    FleetConfiguration.of(1, List.of(ROUTE), List.of(), List.of(), Map.of(), CallerLimits.DEFAULT));
+            List<Route> routes = value.length == 0 ? List.of(ROUTE) : List.of();
+            return Either.right(FleetConfiguration.of(
+                    1 + value.length, routes, List.of(), List.of(), Map.of(), CallerLimits.DEFAULT));
         }
 
         /** {@inheritDoc} */
