Leave the last target to online requests

Cause: a reservation went on when no other target of the service could be used any more: other requests waited at a target that was up, for as long as its requests needed to end and suspects came.

Change: such a reservation ends as soon as no suspect runs there, and no further one starts.

IsolatedRunsTest.leavesTheLastTargetToOnlineRequests on the code before, 2 of 2 cases: Expected: is an instance of org.tanagermoor.policy.quarantine.IsolationStep$Release but: <Wait[]> is a org.tanagermoor.policy.quarantine.IsolationStep$Wait Expected: is an instance of org.tanagermoor.policy.quarantine.IsolationStep$Wait but: <Run[target=a, runs=[2]]> is a org.tanagermoor.policy.quarantine.IsolationStep$Run

--- a/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/IsolatedRuns.java
+++ b/tanagermoor-policy/src/main/java/org/tanagermoor/policy/quarantine/IsolatedRuns.java
@@ -216,7 +216,10 @@
         if (running.isEmpty() && suspects.isEmpty()) {
             return release(reserved, "no suspect waits");
         }
-        if (endReason != null) {
+        if (running.isEmpty() && targets.size() < 2) {
+            return release(reserved, "no other target can be used");
+        }
+        if (endReason != null || targets.size() < 2) {
             return new IsolationStep.Wait();
         }
         if (!alone && current.get().inUse() > 0) {
--- a/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/IsolatedRunsTest.java
+++ b/tanagermoor-policy/src/test/java/org/tanagermoor/policy/quarantine/IsolatedRunsTest.java
@@ -186,6 +186,25 @@
         assertThat(next(), is(instanceOf(IsolationStep.Wait.class)));
     }
 
+    /** Online requests got no target while suspects went on at the last one, which was reserved. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void leavesTheLastTargetToOnlineRequests(int started) {
+        others.keySet().retainAll(Set.of("a", "b"));
+        others.put("a", 1 - started);
+        others.put("b", 2);
+        add("1", "2");
+        assertThat(next(), is(new IsolationStep.Reserve("a")));
+        assertThat(next() instanceof IsolationStep.Run, is(started == 1));
+        others.remove("b");
+        if (started == 1) {
+            advance(IsolatedRuns.SURVIVAL_NANOS);
+            assertThat(next(), is(instanceOf(IsolationStep.Wait.class)));
+            runs.ended("1", IsolationEnd.WITHDRAWN, now);
+        }
+        assertThat(next(), is(instanceOf(IsolationStep.Release.class)));
+    }
+
     /** A target that failed a suspect, and may do so to sound ones, is passed over. */
     @ParameterizedTest
     @EnumSource(names = {"FAILED", "NOT_RUN", "CRASHED"})
