Log which request limits the answers of targets name

Cause: no code read the request limit that a target names in its answers, and no line of a log said that one had named it, so the hypotheses of docs/incidents/target-limits.md could not be told apart.

TargetConnection passes what each answer says to the observer: a named limit of any answer that the target sent, no limit only of a signed answer to the current request. Each instance keeps the last statement of each target (LimitReports) and logs TARGET_REQUEST_LIMIT_LEARNT at each change. Placement is unchanged. RunMeterTest and TargetConnectionsTest are adapted to the new component and the new method only.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -163,7 +163,9 @@
                 context.service(TargetProtocol.class),
                 time,
                 new SkippedAnswerLog(
-                        events, target -> loop.execute(() -> fleet.leaving(target.id(), target.startedAtMillis()))));
+                        events,
+                        target -> loop.execute(() -> fleet.leaving(target.id(), target.startedAtMillis())),
+                        dispatchClient::requestLimit));
         jobs = Jobs.of(jobContext(context, tables, metrics, domain), liveness, this::jobStateFresh);
         jobTable = follow(feed, JobStore.JOBS_TABLE, this::jobReadInterval, jobs::rowsChanged);
         CallerProtocol protocol = context.service(CallerProtocol.class);
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
@@ -166,7 +166,10 @@
     TARGET_RESERVATION_ENDED(2256, Level.INFO, "the reservation of a target ended"),
 
     /** What the target bore or did not bear. */
-    ISOLATED_RUN_ENDED(2257, Level.INFO, "a run of an item at a reserved target ended");
+    ISOLATED_RUN_ENDED(2257, Level.INFO, "a run of an item at a reserved target ended"),
+
+    /** This instance has learnt of the request limit of a target, of a change of it or of its end. */
+    TARGET_REQUEST_LIMIT_LEARNT(2260, Level.INFO, "a target names a request limit, another one, or none any more");
 
     private final Entry entry;
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -96,6 +97,9 @@
     /** What a new dispatcher is told about targets that crashed under requests of this instance. */
     private final CrashReports crashReports = CrashReports.of();
 
+    /** What this instance knows of the request limits of targets. */
+    private final LimitReports limits = LimitReports.of();
+
     /** The fraction of the places that online requests leave free, by service, as a dispatcher last reported it. */
     private final Map<String, Double> headroomByService = new HashMap<>();
 
@@ -183,6 +187,31 @@
         leavingTargets = value;
     }
 
+    /**
+     * Records what the answer of a target says about its request limit.
+     *
+     * @param target The target.
+     * @param perSecond The requests per second that it takes from all instances together; empty if it names no limit.
+     */
+    public void requestLimit(TargetEntry target, OptionalDouble perSecond) {
+        LimitReport stated = new LimitReport(target.id(), target.startedAtMillis(), perSecond, time.nanos());
+        if (limits.observe(stated)) {
+            record(stated, "target");
+        }
+    }
+
+    /** Records that this instance has learnt of the request limit of a target, or of its change or end. */
+    private void record(LimitReport limit, String source) {
+        events.record(
+                GatewayEvent.TARGET_REQUEST_LIMIT_LEARNT,
+                "target",
+                limit.target(),
+                "per-second",
+                limit.text(),
+                "source",
+                source);
+    }
+
     /** Returns the identity of this instance, under which it holds permits. */
     public String self() {
         return self;
--- /dev/null
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/LimitReport.java
@@ -0,0 +1,24 @@
+package org.tanagermoor.gateway.dispatch;
+
+import java.util.OptionalDouble;
+
+/**
+ * What an answer of a target said about its request limit.
+ *
+ * @param target The identity of the target.
+ * @param startedAtMillis The time of its start in milliseconds, which tells incarnations apart.
+ * @param perSecond The requests per second that it takes from all instances together; empty if it named no limit.
+ * @param heardAt The monotonic time in nanoseconds at which the head of the answer was received.
+ */
+record LimitReport(String target, long startedAtMillis, OptionalDouble perSecond, long heardAt) {
+
+    /** Returns whether this is about the same incarnation of a target as another report. */
+    boolean sameRun(LimitReport other) {
+        return target.equals(other.target) && startedAtMillis == other.startedAtMillis;
+    }
+
+    /** Returns the limit as text, for the log. */
+    String text() {
+        return perSecond.isPresent() ? Double.toString(perSecond.getAsDouble()) : "none";
+    }
+}
--- /dev/null
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/LimitReports.java
@@ -0,0 +1,147 @@
+package org.tanagermoor.gateway.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What this instance knows of the request limits of targets, and what of it the dispatcher has to be told: a change at
+ * once, an unchanged limit from time to time with other messages, and all to a new dispatcher. Not thread-safe.
+ */
+final class LimitReports {
+
+    /** The maximum number of targets that are remembered; the one that was heard of least recently is forgotten. */
+    private static final int MAX_TARGETS = 1_024;
+
+    /** The minimum time between two reports of an unchanged limit, in nanoseconds. */
+    private static final long REFRESH_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** What is known, by the identity of the target. */
+    private final Map<String, Known> targets = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        /** {@inheritDoc} */
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Known> eldest) {
+            return size() > MAX_TARGETS;
+        }
+    };
+
+    /** The identities of the targets of which the dispatcher has to be told. */
+    private final Set<String> due = new LinkedHashSet<>();
+
+    /** The dispatcher that was told last; empty before the first. */
+    private String dispatcher = "";
+
+    private LimitReports() {}
+
+    /** Returns the reports of an instance that has heard of no limit. */
+    static LimitReports of() {
+        return new LimitReports();
+    }
+
+    /** Returns whether any target is known to name a limit. */
+    boolean anyNamed() {
+        return targets.values().stream()
+                .anyMatch(known -> known.report.perSecond().isPresent());
+    }
+
+    /**
+     * Records what an answer says.
+     *
+     * @param stated What the answer says.
+     * @return Whether the dispatcher must be told at once.
+     */
+    boolean observe(LimitReport stated) {
+        Known known = targets.get(stated.target());
+        if (known == null) {
+            if (stated.perSecond().isEmpty()) {
+                return false;
+            }
+            targets.put(stated.target(), new Known(stated));
+            due.add(stated.target());
+            return true;
+        }
+        boolean changed =
+                !known.report.sameRun(stated) || !known.report.perSecond().equals(stated.perSecond());
+        known.report = stated;
+        if (changed || (stated.perSecond().isPresent() && stated.heardAt() - known.toldAt >= REFRESH_NANOS)) {
+            due.add(stated.target());
+        }
+        return changed;
+    }
+
+    /**
+     * Records what the dispatcher has said. It is the state that an answer of the target is compared with.
+     *
+     * @param told What it has said.
+     * @return Whether this instance did not know it.
+     */
+    boolean told(LimitReport told) {
+        Known known = targets.get(told.target());
+        if (known != null
+                && known.report.sameRun(told)
+                && known.report.perSecond().equals(told.perSecond())) {
+            return false;
+        }
+        if (known != null && due.contains(told.target()) && known.report.sameRun(told)) {
+            return false;
+        }
+        targets.put(told.target(), new Known(told));
+        return true;
+    }
+
+    /**
+     * Returns what a dispatcher has to be told, and assumes that it is.
+     *
+     * @param toDispatcher The dispatcher; one that was not told last has to be told all.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    List<LimitReport> take(String toDispatcher, long now) {
+        boolean all = !toDispatcher.equals(dispatcher);
+        dispatcher = toDispatcher;
+        List<LimitReport> result = new ArrayList<>();
+        for (String target : all ? List.copyOf(targets.keySet()) : due) {
+            Known known = targets.get(target);
+            if (known != null) {
+                known.toldAt = now;
+                result.add(known.report);
+            }
+        }
+        due.clear();
+        return result;
+    }
+
+    /** Returns whether a dispatcher has to be told of a change. */
+    boolean due() {
+        return !due.isEmpty();
+    }
+
+    /** Records that reports did not arrive. */
+    void lost(Collection<LimitReport> reports) {
+        for (LimitReport report : reports) {
+            if (targets.containsKey(report.target())) {
+                due.add(report.target());
+            }
+        }
+    }
+
+    /** What is known of a target. */
+    private static final class Known {
+
+        private LimitReport report;
+
+        /** The monotonic time in nanoseconds at which the dispatcher was told last. */
+        private long toldAt;
+
+        private Known(LimitReport report) {
+            this.report = report;
+            toldAt = report.heardAt();
+        }
+    }
+}
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
@@ -247,6 +247,9 @@
         if (read.leaving()) {
             observer.leaving(target);
         }
+        if (read.requestLimit().isPresent() && !read.misdirected()) {
+            observer.requestLimit(target, read.requestLimit());
+        }
         if (response.status().code() < FIRST_FINAL_STATUS) {
             skipping = true;
             countSkipped(SKIPPED_HEAD_BYTES);
@@ -270,6 +273,9 @@
         }
         skipping = false;
         head = read;
+        if (read.requestLimit().isEmpty() && read.signed() && !read.misdirected()) {
+            observer.requestLimit(target, read.requestLimit());
+        }
         framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
         reusable = !read.id().isEmpty() && HttpUtil.isKeepAlive(response) && framed;
         idleTimeoutMillis = read.idleTimeoutMillis();
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetHead.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetHead.java
@@ -1,6 +1,7 @@
 package org.tanagermoor.gateway.forward;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * The head of a target's answer, independent of the protocol of the targets.
@@ -14,6 +15,8 @@
  * @param leaving Whether the target states that it is leaving.
  * @param idleTimeoutMillis How long the target keeps an idle connection, in milliseconds; 0 if it does not say.
  * @param load The load that the target states; empty if it states none.
+ * @param requestLimit The requests per second that the target takes from all instances together; empty if it names no
+ *     limit.
  */
 public record TargetHead(
         int status,
@@ -24,9 +27,10 @@
         boolean events,
         boolean leaving,
         long idleTimeoutMillis,
-        Optional<TargetLoad> load) {
+        Optional<TargetLoad> load,
+        OptionalDouble requestLimit) {
 
-    /** Creates the head of an answer that states no load. */
+    /** Creates the head of an answer that states no load and names no limit. */
     public TargetHead(
             int status,
             String id,
@@ -36,6 +40,16 @@
             boolean events,
             boolean leaving,
             long idleTimeoutMillis) {
-        this(status, id, notRun, misdirected, signed, events, leaving, idleTimeoutMillis, Optional.empty());
+        this(
+                status,
+                id,
+                notRun,
+                misdirected,
+                signed,
+                events,
+                leaving,
+                idleTimeoutMillis,
+                Optional.empty(),
+                OptionalDouble.empty());
     }
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/RunMeterTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/RunMeterTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -52,6 +53,7 @@
     }
 
     private static TargetHead head(int status, boolean notRun, boolean events) {
-        return new TargetHead(status, "", notRun, false, true, events, false, 0, Optional.of(LOAD));
+        return new TargetHead(
+                status, "", notRun, false, true, events, false, 0, Optional.of(LOAD), OptionalDouble.empty());
     }
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/TargetConnectionsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/forward/TargetConnectionsTest.java
@@ -27,6 +27,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -428,6 +429,14 @@
             throw new AssertionError("no target leaves");
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public void requestLimit(TargetEntry entry, OptionalDouble perSecond) {
+            if (perSecond.isPresent()) {
+                throw new AssertionError("no target names a limit");
+            }
+        }
+
         /** {@inheritDoc} */
         @Override
         public void answerSkipped(TargetEntry entry, String request, TargetHead head) {
