--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -158,14 +158,7 @@
         loadMonitor = LoadMonitor.of(dispatchServer.dispatcher(), events, context.metrics());
         shareTable = ShareTable.of(tables, duties, dispatchServer, self.id().name(), events, time);
         dispatchClient = DispatchClient.of(loop, link, liveness, dispatchServer, events, time);
-        connections = TargetConnections.of(
-                loop,
-                context.service(TargetProtocol.class),
-                time,
-                new SkippedAnswerLog(
-                        events,
-                        target -> loop.execute(() -> fleet.leaving(target.id(), target.startedAtMillis())),
-                        dispatchClient::requestLimit));
+        connections = TargetConnections.of(loop, context.service(TargetProtocol.class), time, targetObserver());
         jobs = Jobs.of(jobContext(context, tables, metrics, domain), liveness, this::jobStateFresh);
         jobTable = follow(feed, JobStore.JOBS_TABLE, this::jobReadInterval, jobs::rowsChanged);
         CallerProtocol protocol = context.service(CallerProtocol.class);
@@ -208,6 +201,14 @@
         return server;
     }
 
+    /** Returns the observer of the targets. Call it after the fields that it reads are set. */
+    private SkippedAnswerLog targetObserver() {
+        return new SkippedAnswerLog(
+                events,
+                target -> loop.execute(() -> fleet.leaving(target.id(), target.startedAtMillis())),
+                dispatchClient::requestLimit);
+    }
+
     /** Returns the roll-outs. Call it after the fields that it reads are set. */
     private Rollouts rollouts(Context context, RolloutLimits limits) {
         RolloutTable table = RolloutTable.of(
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/GatewayEvent.java
@@ -169,7 +169,10 @@
     ISOLATED_RUN_ENDED(2257, Level.INFO, "a run of an item at a reserved target ended"),
 
     /** This instance has learnt of the request limit of a target, of a change of it or of its end. */
-    TARGET_REQUEST_LIMIT_LEARNT(2260, Level.INFO, "a target names a request limit, another one, or none any more");
+    TARGET_REQUEST_LIMIT_LEARNT(2260, Level.INFO, "a target names a request limit, another one, or none any more"),
+
+    /** The dispatcher of this instance admits requests to a target by another request limit, or by none any more. */
+    TARGET_REQUEST_LIMIT_CHANGED(2261, Level.INFO, "the request limit of a target began, changed or ended");
 
     private final Entry entry;
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchClient.java
@@ -98,7 +98,7 @@
     private final CrashReports crashReports = CrashReports.of();
 
     /** What this instance knows of the request limits of targets. */
-    private final LimitReports limits = LimitReports.of();
+    private final LimitReports limits;
 
     /** The fraction of the places that online requests leave free, by service, as a dispatcher last reported it. */
     private final Map<String, Double> headroomByService = new HashMap<>();
@@ -144,6 +144,7 @@
         this.localServer = localServer;
         allocation = localServer.allocation();
         this.events = events;
+        limits = LimitReports.of(events);
         this.time = time;
         self = liveness.self().id().toString();
         startedAt = time.nanos();
@@ -188,28 +189,21 @@
     }
 
     /**
-     * Records what the answer of a target says about its request limit.
+     * Records what the answer of a target says about its request limit, and tells the dispatcher of a change.
      *
      * @param target The target.
      * @param perSecond The requests per second that it takes from all instances together; empty if it names no limit.
      */
     public void requestLimit(TargetEntry target, OptionalDouble perSecond) {
-        LimitReport stated = new LimitReport(target.id(), target.startedAtMillis(), perSecond, time.nanos());
-        if (limits.observe(stated)) {
-            record(stated, "target");
+        if (limits.observe(new LimitReport(target.id(), target.startedAtMillis(), perSecond, time.nanos()))) {
+            scheduleReturns();
         }
     }
 
-    /** Records that this instance has learnt of the request limit of a target, or of its change or end. */
-    private void record(LimitReport limit, String source) {
-        events.record(
-                GatewayEvent.TARGET_REQUEST_LIMIT_LEARNT,
-                "target",
-                limit.target(),
-                "per-second",
-                limit.text(),
-                "source",
-                source);
+    /** Tells the dispatcher on this instance what this instance knows of request limits. */
+    private void reportLimitsLocally(long now) {
+        limits.take(self, now)
+                .forEach(limit -> localServer.dispatcher().limits().report(limit, now));
     }
 
     /** Returns the identity of this instance, under which it holds permits. */
@@ -307,6 +301,7 @@
         pendingReturns.clear();
         if (dispatching) {
             localServer.takeOver(headroomByService, now);
+            reportLimitsLocally(now);
             List<Placement> asking = placements.values().stream()
                     .filter(placement -> !placement.local && placement.target.isEmpty())
                     .toList();
@@ -345,7 +340,7 @@
         long now = time.nanos();
         tick(now);
         Instance dispatcher = liveness.dispatcher(now);
-        if (!dispatcher.id().equals(liveness.self().id()) && allocation.renewalDue(calledAt, now)) {
+        if (!dispatcher.id().equals(liveness.self().id()) && allocation.renewalDue(calledAt, limits.anyNamed(), now)) {
             call(dispatcher, PermitCall.newBuilder(), false, result -> {
                 if (result.isLeft()) {
                     dispatcherSilent(dispatcher, result.getLeft());
@@ -367,6 +362,7 @@
         Instance dispatcher = liveness.dispatcher(now);
         boolean dispatching = dispatcher.id().equals(liveness.self().id());
         if (dispatching) {
+            reportLimitsLocally(now);
             localServer.dispatcher().resync(self, occupiedPlaces(), now);
         } else if (!placements.isEmpty()
                 || placesReported
@@ -461,6 +457,8 @@
                 .get()
                 .forEach(target -> call.addLeaving(
                         LeavingTarget.newBuilder().setId(target.id()).setStartedMillis(target.startedAtMillis())));
+        List<LimitReport> sentLimits = limits.take(dispatcher.id().toString(), sentAt);
+        sentLimits.forEach(limit -> call.addLimits(DispatchCodec.toMessage(limit, sentAt)));
         calledAt = sentAt;
         Loan loan = allocation.lend(dispatcher.id(), call, sentAt);
         link.call(
@@ -474,6 +472,9 @@
                     if (result.isRight()) {
                         allocation.answered(dispatcher.id(), result.get(), loan, sentAt, time.nanos());
                     }
+                    if (result.isLeft()) {
+                        limits.lost(sentLimits);
+                    }
                     if (result.isLeft()
                             && lastDispatcher != null
                             && lastDispatcher.id().equals(dispatcher.id())) {
@@ -493,6 +494,7 @@
             case GRANTED -> {
                 placement.target = answer.getTarget();
                 placement.grantedAt = time.nanos();
+                limits.granted(answer, placement.grantedAt);
                 placement.answer.accept(new PlacementDecision.Granted(answer.getTarget()));
             }
             case RATE_LIMITED, OVERLOADED, NO_TARGET, QUARANTINED -> finish(placement, DispatchCodec.refusal(answer));
@@ -524,16 +526,17 @@
         }
     }
 
-    /** Sends the returned permits that no ask has carried along. */
+    /** Sends the returned permits and the changes of request limits that no ask has carried along. */
     private void sendReturns() {
         returnScheduled = false;
         long now = time.nanos();
-        if (pendingReturns.isEmpty()) {
+        if (pendingReturns.isEmpty() && !limits.due()) {
             return;
         }
         Instance dispatcher = liveness.dispatcher(now);
         if (dispatcher.id().equals(liveness.self().id())) {
             pendingReturns.clear();
+            reportLimitsLocally(now);
         } else {
             call(dispatcher, PermitCall.newBuilder(), false, result -> {
                 if (result.isLeft()) {
@@ -569,50 +572,4 @@
             }
         });
     }
-
-    /** An ask, and the place granted to it. */
-    private static final class Placement {
-
-        private final Ask ask;
-
-        /** Receives the decision. */
-        private final Consumer<PlacementDecision> answer;
-
-        /** The monotonic time of the ask in nanoseconds. */
-        private final long askedAt;
-
-        /** The monotonic time of the grant in nanoseconds, if there is a target. */
-        private long grantedAt;
-
-        /** The identity of the target; empty while there is none. */
-        private String target = "";
-
-        /** Whether the dispatcher on this instance decides. */
-        private boolean local;
-
-        /** Creates an ask without a place. */
-        Placement(Ask ask, Consumer<PlacementDecision> answer, long askedAt) {
-            this.ask = ask;
-            this.answer = answer;
-            this.askedAt = askedAt;
-        }
-
-        /** Returns the ask with its times reduced by the time that it has waited. */
-        private Ask currentAsk(long now) {
-            return ask.after(now - askedAt);
-        }
-
-        /** Returns the place in use, for a report to the dispatcher. */
-        private OccupiedPlace place(long now) {
-            return new OccupiedPlace(
-                            ask.permit(),
-                            ask.service(),
-                            target,
-                            ask.batch(),
-                            ask.onTimeNanos() - (grantedAt - askedAt),
-                            ask.work().after(now - grantedAt))
-                    .withRun(ask.prompt(), now - grantedAt)
-                    .withRoute(ask.traits().route());
-        }
-    }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchCodec.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchCodec.java
@@ -13,6 +13,7 @@
 import org.tanagermoor.gateway.proto.PermitReturn;
 import org.tanagermoor.gateway.proto.PermitWork;
 import org.tanagermoor.gateway.proto.ShareLoan;
+import org.tanagermoor.gateway.proto.TargetLimit;
 import org.tanagermoor.gateway.proto.TargetLoad;
 import org.tanagermoor.policy.quarantine.Crash;
 import org.tanagermoor.policy.share.Loan;
@@ -257,6 +258,34 @@
                 now - TimeUnit.MILLISECONDS.toNanos(message.getBrokeAgeMillis()));
     }
 
+    /** Writes what an answer of a target said about its request limit. */
+    static TargetLimit toMessage(LimitReport report, long now) {
+        TargetLimit.Builder message = TargetLimit.newBuilder()
+                .setId(report.target())
+                .setStartedMillis(report.startedAtMillis())
+                .setAgeMillis((int) Math.min(
+                        Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(Math.max(0, now - report.heardAt()))));
+        report.perSecond().ifPresent(message::setPerSecond);
+        report.sent()
+                .forEach(sentAt ->
+                        message.addSentAgesMillis((int) TimeUnit.NANOSECONDS.toMillis(Math.max(0, now - sentAt))));
+        return message.build();
+    }
+
+    /** Reads what an answer of a target said about its request limit; an impossible limit counts as none. */
+    static LimitReport fromMessage(TargetLimit message, long now) {
+        double perSecond = message.getPerSecond();
+        boolean named = message.hasPerSecond() && perSecond >= 0 && Double.isFinite(perSecond);
+        return new LimitReport(
+                message.getId(),
+                message.getStartedMillis(),
+                named ? OptionalDouble.of(perSecond) : OptionalDouble.empty(),
+                now - TimeUnit.MILLISECONDS.toNanos(Integer.toUnsignedLong(message.getAgeMillis())),
+                message.getSentAgesMillisList().stream()
+                        .map(age -> now - TimeUnit.MILLISECONDS.toNanos(Integer.toUnsignedLong(age)))
+                        .toList());
+    }
+
     /** Returns the identity of the run of a permit, unique in the fleet. */
     static String run(String holder, long permit) {
         return holder + "/" + permit;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/DispatchServer.java
@@ -172,6 +172,7 @@
     void takeOver(Map<String, Double> headroomByService, long now) {
         tookOverAt = OptionalLong.of(now);
         dispatcher.takeOver(headroomByService);
+        dispatcher.limits().sendsKnown(false, now);
     }
 
     /** Records that another instance is the dispatcher. */
@@ -190,6 +191,15 @@
                                         dispatcher.hasReported(instance.id().toString())));
     }
 
+    /** Tells the dispatcher whether all places in use and all recent requests are known. */
+    private void updateKnown(long now) {
+        boolean known = allPlacesKnown(now);
+        dispatcher.batchPaused(!known, now);
+        if (known || tookOverAt.isEmpty()) {
+            dispatcher.limits().sendsKnown(true, now);
+        }
+    }
+
     /**
      * Returns what this instance sees of a service in a roll-out.
      *
@@ -223,7 +233,7 @@
      * job after {@link #BATCH_ANSWER_MILLIS}.
      */
     void ask(Ask ask, Consumer<PermitAnswer> answer) {
-        dispatcher.batchPaused(!allPlacesKnown(time.nanos()), time.nanos());
+        updateKnown(time.nanos());
         allocation.update(time.nanos());
         Optional<PlacementDecision> decision = dispatcher.ask(ask, time.nanos());
         if (decision.isPresent()) {
@@ -266,7 +276,7 @@
             loop.schedule(
                     () -> {
                         checkScheduled = false;
-                        dispatcher.batchPaused(!allPlacesKnown(time.nanos()), time.nanos());
+                        updateKnown(time.nanos());
                         dispatcher.tick(time.nanos());
                         scheduleCheck();
                     },
@@ -379,6 +389,7 @@
         String holder = from.toString();
         allocation.borrow(from, call, now);
         call.getLeavingList().forEach(leavingHandler);
+        call.getLimitsList().forEach(limit -> dispatcher.limits().report(DispatchCodec.fromMessage(limit, now), now));
         Contact contact = contacts.computeIfAbsent(holder, name -> new Contact(now));
         contact.calledAt = now;
         if (call.getResync()) {
@@ -411,9 +422,19 @@
         sink.success(Either.right(allocation.withStamp(answer, now).toByteArray()));
     }
 
-    /** Converts a decision, and adds the headroom for a later dispatcher. */
+    /** Converts a decision, and adds the headroom and the request limit of the target for a later dispatcher. */
     private PermitAnswer toMessage(Ask ask, PlacementDecision decision) {
-        return DispatchCodec.toMessage(decision, dispatcher.headroom(ask.service()));
+        PermitAnswer answer = DispatchCodec.toMessage(decision, dispatcher.headroom(ask.service()));
+        if (decision instanceof PlacementDecision.Granted granted) {
+            return dispatcher
+                    .limits()
+                    .find(ask.service(), granted.target())
+                    .map(limit -> answer.toBuilder()
+                            .setLimit(DispatchCodec.toMessage(limit, time.nanos()))
+                            .build())
+                    .orElse(answer);
+        }
+        return answer;
     }
 
     /** The times at which an instance called this one. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Dispatcher.java
@@ -58,6 +58,8 @@
     /** The queues in which a place may have become free meanwhile. */
     private final Set<ServiceQueue> drainAgain = new HashSet<>();
 
+    private final TargetLimits limits;
+
     /** Receives the decisions on queued asks, and the recalls. */
     private final DispatchSink sink;
 
@@ -71,6 +73,7 @@
     private Dispatcher(DispatchSink sink, TeamRates rates, Quarantine quarantine) {
         this.sink = sink;
         this.rates = rates;
+        limits = new TargetLimits(services, rates, this::drain);
         recalls = new Recalls(occupied, sink);
         parts = new PartGuard(quarantine, sink::quarantineChanged);
     }
@@ -106,7 +109,8 @@
                 }
             } else {
                 double cold = coldPerSecond.applyAsDouble(entry.service());
-                queue(entry.service()).start(entry, cold, grants(entry.service()), now);
+                queue(entry.service()).start(entry, cold, recalls.grants(entry.service()), now);
+                limits.started(entry, now);
             }
         }
         services.forEach((name, queue) -> queue.places()
@@ -118,6 +122,11 @@
         });
     }
 
+    /** Returns the request limits of the targets. */
+    TargetLimits limits() {
+        return limits;
+    }
+
     /**
      * Replaces the roll-outs. The rules of an ended one hold until it is replaced, and afterwards while there are
      * targets of the versions that it excludes.
@@ -152,7 +161,7 @@
      * @return The numbers.
      */
     public RolloutPlaces rolloutPlaces(String service, long now) {
-        return queue(service).rollout().count(grants(service), now);
+        return queue(service).rollout().count(recalls.grants(service), now);
     }
 
     /**
@@ -353,7 +362,7 @@
     public void tick(long now) {
         services.forEach((name, queue) -> {
             queue.observe(now);
-            recalls.recallExcluded(grants(name), queue, now);
+            recalls.recallExcluded(recalls.grants(name), queue, now);
             refuseHeldBack(queue, queue.online(), now);
             refuseHeldBack(queue, queue.batch(), now);
             expire(queue, queue.online(), now);
@@ -418,6 +427,7 @@
 
     /** Grants a place to a new ask, or queues or refuses it. */
     private Optional<PlacementDecision> place(ServiceQueue queue, Ask ask, long now) {
+        limits.applyShares(now);
         if (!queue.hasTargets(now) && !ask.batch()) {
             return refused(PlacementDecision.Reason.NO_TARGET, NO_TARGET_RETRY_MILLIS);
         }
@@ -447,6 +457,7 @@
      * more: the depth of the calls must not grow with the number of asks.
      */
     private void drain(ServiceQueue queue, long now) {
+        limits.applyShares(now);
         drainAgain.add(queue);
         if (!draining.add(queue)) {
             return;
@@ -555,14 +566,6 @@
                 sink.decided(next.ask(), new PlacementDecision.Refused(PlacementDecision.Reason.OVERLOADED, retry)));
     }
 
-    /** Returns the granted places of a service. */
-    private List<Grant> grants(String service) {
-        return occupied.values().stream()
-                .flatMap(permits -> permits.values().stream())
-                .filter(place -> place.service.equals(service))
-                .toList();
-    }
-
     private PlacementDecision grant(ServiceQueue queue, Ask ask, TargetPlaces place, long slack, long now) {
         place.take(ask.batch(), now);
         queue.remember(ask, place);
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/RateAllocation.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/RateAllocation.java
@@ -94,10 +94,12 @@
      * Returns whether a call that renews the loan is due.
      *
      * @param calledAt The monotonic time in nanoseconds of the last call to the dispatcher.
+     * @param targetsLimited Whether any target is known to name a request limit, of which shares are also lent.
      * @param now The current monotonic time in nanoseconds.
      */
-    boolean renewalDue(long calledAt, long now) {
-        return rates.limited() && (now - calledAt >= shares.renewal().toNanos() || shares.lendable(now));
+    boolean renewalDue(long calledAt, boolean targetsLimited, long now) {
+        return (rates.limited() || targetsLimited)
+                && (now - calledAt >= shares.renewal().toNanos() || shares.lendable(now));
     }
 
     /**
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Recalls.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/Recalls.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -33,8 +34,10 @@
         Grant best = null;
         for (Map<Long, Grant> permits : occupied.values()) {
             for (Grant place : permits.values()) {
+                TargetPlaces target = queue.places().get(place.target);
                 if (place.batch
-                        && queue.places().containsKey(place.target)
+                        && target != null
+                        && target.requestLimit().allowed(now) > 0
                         && !excluded.test(place)
                         && !recalled.contains(place)
                         && !queue.suspects().isolates(place)
@@ -65,6 +68,14 @@
                 .forEach(this::recall);
     }
 
+    /** Returns the granted places of a service. */
+    List<Grant> grants(String service) {
+        return occupied.values().stream()
+                .flatMap(permits -> permits.values().stream())
+                .filter(place -> place.service.equals(service))
+                .toList();
+    }
+
     private void recall(Grant place) {
         recalled.add(place);
         sink.recall(place.holder, place.permit);
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/ServiceQueue.java
@@ -11,6 +11,7 @@
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.tanagermoor.gateway.fleet.TargetEntry;
+import org.tanagermoor.policy.target.RequestLimit;
 import org.tanagermoor.policy.target.TargetPace;
 import org.tanagermoor.policy.target.TargetSpeed;
 
@@ -46,6 +47,7 @@
 
     /** The order in which targets are chosen. The figures of each target are determined once for each choice. */
     private static final Comparator<Candidate> PREFERENCE = Comparator.comparing(Candidate::suspected)
+            .thenComparing(Candidate::spared)
             .thenComparingDouble(Candidate::load)
             .thenComparing(Candidate::remote);
 
@@ -252,13 +254,13 @@
 
     /** Returns the time that an online request is expected to wait behind a number of others, in nanoseconds. */
     private double expectedWait(long before, long now) {
-        return expectedWait(before, batchPlaces(now), usablePlaces(now));
+        return expectedWait(before, batchPlaces(now), returnedPlaces(now));
     }
 
-    /** Returns the same by the numbers of places that items of jobs use, and of all usable places. */
-    private double expectedWait(long before, int batchPlaces, int usablePlaces) {
+    /** Returns the same by the number of places that items of jobs use, and of places that are returned meanwhile. */
+    private double expectedWait(long before, int batchPlaces, double returnedPlaces) {
         long position = before + 1 - batchPlaces;
-        return position <= 0 ? RECALL_NANOS : position * occupancyNanos / (usablePlaces + 1);
+        return position <= 0 ? RECALL_NANOS : position * occupancyNanos / returnedPlaces;
     }
 
     /** Converts an expected wait into the time after which a caller is told to come back, in milliseconds. */
@@ -266,8 +268,33 @@
         return Math.max(MIN_RETRY_MILLIS, (long) (waitNanos / 1e6));
     }
 
-    /** Returns the total number of places of usable targets for any request, free or in use. */
+    /**
+     * Returns the number of places that are returned in the mean time for which a request occupies one. The first of
+     * several is returned sooner; but the requests to targets with a request limit must keep a distance.
+     */
+    private double returnedPlaces(long now) {
+        boolean limited = places.values().stream()
+                .filter(rollout.permitted(now))
+                .filter(place -> place.open(now))
+                .allMatch(place -> place.requestLimit().named());
+        double usable = usefulPlaces(now);
+        return limited && usable > 0
+                ? Math.max(usable, RequestLimit.minUsefulPlaces(occupancyNanos))
+                : Math.floor(usable) + 1;
+    }
+
+    /**
+     * Returns the total number of places of usable targets for any request, free or in use, without those that request
+     * limits do not keep in use.
+     *
+     * @param now The current monotonic time in nanoseconds.
+     */
     int usablePlaces(long now) {
+        return (int) usefulPlaces(now);
+    }
+
+    /** Returns the total number of places of usable targets for any request, free or in use. */
+    private int openPlaces(long now) {
         return places.values().stream()
                 .filter(rollout.permitted(now))
                 .filter(place -> place.open(now))
@@ -275,10 +302,23 @@
                 .sum();
     }
 
-    /** Returns the number of places in use by items of jobs at targets for any request. */
+    /** Returns the same number with fractions, since a low limit keeps less than one place in use. */
+    private double usefulPlaces(long now) {
+        return places.values().stream()
+                .filter(rollout.permitted(now))
+                .filter(place -> place.open(now))
+                .mapToDouble(place -> place.usefulPlaces(occupancyNanos, now))
+                .sum();
+    }
+
+    /**
+     * Returns the number of places in use by items of jobs at targets for any request. Those at targets whose request
+     * limit admits nothing now are not counted, since a request could not use them if they were returned.
+     */
     int batchPlaces(long now) {
         return places.values().stream()
                 .filter(rollout.permitted(now).and(place -> !place.reserved()))
+                .filter(place -> place.requestLimit().allowed(now) > 0)
                 .mapToInt(TargetPlaces::batch)
                 .sum();
     }
@@ -291,8 +331,9 @@
     }
 
     /**
-     * Chooses a target with a free place: unsuspected targets first, then the one with the lowest load, then one in the
-     * failure domain of the holder. The target that served the prompt last is preferred if its load is hardly higher.
+     * Chooses a target with a free place: unsuspected targets first, then those that need not be spared, then the one
+     * with the lowest load, then one in the failure domain of the holder. The target that served the prompt last is
+     * preferred if its load is hardly higher.
      * In a roll-out, an ask that is offered to the new version gets a place there if one is free.
      *
      * @param ask The ask.
@@ -317,6 +358,7 @@
                 .map(place -> new Candidate(
                         place,
                         place.suspected(ask.domain(), now),
+                        spared(place, ask, now),
                         load(place, now),
                         !place.entry().domain().equals(ask.domain())))
                 .min(PREFERENCE);
@@ -325,11 +367,25 @@
         double maxLoad = first.map(candidate -> candidate.load() + promptLoad).orElse(0.0);
         return remembered(ask)
                 .filter(permitted)
+                .filter(last -> !spared(last, ask, now)
+                        || best.filter(place -> spared(place, ask, now)).isPresent())
                 .filter(last -> available(last, ask, now) && !last.suspected(ask.domain(), now))
                 .filter(last -> load(last, now) <= maxLoad)
                 .or(() -> best);
     }
 
+    /**
+     * Returns whether a target is better left to others while another one is available: one with a request limit to
+     * items of jobs and to bursts of online requests, one without to online requests. An item uses the limit once for
+     * much work, and its place is not recalled for requests that the limit excludes. A target with a limit that has got
+     * no request for some time is not spared, since only an answer shows that its limit has ended.
+     */
+    private static boolean spared(TargetPlaces place, Ask ask, long now) {
+        return ask.batch()
+                ? !place.requestLimit().named()
+                : place.requestLimit().named() && !place.requestLimit().idle(now);
+    }
+
     /** Returns the load of a target: by the speeds that targets report, if any does, or else by places and times. */
     private double load(TargetPlaces place, long now) {
         return speedReported ? place.expectedTime(now) : place.load(occupancyNanos);
@@ -417,11 +473,11 @@
         List<QueuedAsk> result = new ArrayList<>();
         long before = 0;
         int batchPlaces = batchPlaces(now);
-        int usablePlaces = usablePlaces(now);
+        double returnedPlaces = returnedPlaces(now);
         for (QueuedAsk waiting : online.stream()
                 .sorted(Comparator.comparingDouble(QueuedAsk::position))
                 .toList()) {
-            if (expectedWait(before, batchPlaces, usablePlaces) > waiting.remainingWait(now)) {
+            if (expectedWait(before, batchPlaces, returnedPlaces) > waiting.remainingWait(now)) {
                 result.add(waiting);
             } else {
                 before++;
@@ -499,8 +555,8 @@
      * requests are.
      */
     int reserve(long now) {
-        int usablePlaces = usablePlaces(now);
-        return Math.min(usablePlaces / 2, (int) Math.ceil(usablePlaces * RECALL_NANOS / occupancyNanos));
+        double needed = Math.ceil(usefulPlaces(now) * RECALL_NANOS / occupancyNanos);
+        return Math.min(openPlaces(now) / 2, (int) needed);
     }
 
     /** Returns the most recent target of the prompt of a request. */
@@ -509,12 +565,12 @@
                 .map(places::get);
     }
 
-    /** Returns the total number of free places of usable targets for any request. */
+    /** Returns the total number of requests that usable targets for any request may get at once. */
     private int free(long now) {
         return places.values().stream()
                 .filter(rollout.permitted(now))
                 .filter(place -> place.open(now))
-                .mapToInt(place -> Math.max(0, place.free(now)))
+                .mapToInt(place -> place.freeAndAllowed(now))
                 .sum();
     }
 
@@ -523,8 +579,9 @@
      *
      * @param place The target.
      * @param suspected Whether other targets are preferable.
+     * @param spared Whether the target is better left to others, see {@link #spared}.
      * @param load The load of the target.
      * @param remote Whether it runs in another failure domain than the holder.
      */
-    private record Candidate(TargetPlaces place, boolean suspected, double load, boolean remote) {}
+    private record Candidate(TargetPlaces place, boolean suspected, boolean spared, double load, boolean remote) {}
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
@@ -6,6 +6,7 @@
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.policy.budget.RateLimit;
 import org.tanagermoor.policy.budget.TokenBucket;
+import org.tanagermoor.policy.target.RequestLimit;
 import org.tanagermoor.policy.target.TargetPace;
 import org.tanagermoor.policy.target.TargetSpeed;
 
@@ -78,6 +79,9 @@
     /** The speed that the target reports. */
     private final TargetSpeed speed = TargetSpeed.of();
 
+    /** The requests per second that the target takes from all instances together. */
+    private final RequestLimit requestLimit;
+
     /** How many requests the target may have; limits only the targets of a service that report their speed. */
     private final TargetPace pace;
 
@@ -93,6 +97,7 @@
     TargetPlaces(TargetEntry entry, double coldPerSecond, TargetPace pace, long now) {
         this.entry = entry;
         this.pace = pace;
+        requestLimit = RequestLimit.none(now);
         avoidUntil = now;
         record = new TargetRecord(now);
         coldUntil = now + TimeUnit.MILLISECONDS.toNanos(entry.warmupLeftMillis());
@@ -121,6 +126,27 @@
         return places(now) - online - batch;
     }
 
+    /** Returns the requests per second that the target takes from all instances together. */
+    RequestLimit requestLimit() {
+        return requestLimit;
+    }
+
+    /** Returns the number of requests that the target may get at once. */
+    int freeAndAllowed(long now) {
+        return Math.min(Math.max(0, free(now)), requestLimit.allowed(now));
+    }
+
+    /**
+     * Returns the number of places that the target may have in use now, or fewer if its request limit cannot keep them
+     * in use.
+     *
+     * @param occupancyNanos The mean time for which a request occupies a place, in nanoseconds.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    double usefulPlaces(double occupancyNanos, long now) {
+        return requestLimit.usefulPlaces(places(now), occupancyNanos);
+    }
+
     /** Returns whether the target has reported its speed. */
     boolean reportsSpeed() {
         return speed.reported();
@@ -202,12 +228,12 @@
     }
 
     /**
-     * Returns whether a request may be sent now: the target is usable and not reserved, has a free place, and is warm
-     * or below its cold rate.
+     * Returns whether a request may be sent now: the target is usable and not reserved, has a free place, is below its
+     * request limit, and is warm or below its cold rate.
      */
     boolean available(long now) {
         return open(now)
-                && free(now) > 0
+                && freeAndAllowed(now) > 0
                 && (now - coldUntil >= 0 || cold.refill(cold.limit().burst(), now) >= 1);
     }
 
@@ -223,11 +249,12 @@
         return now - coldUntil >= 0 || unlimited;
     }
 
-    /** Occupies a place, and charges the cold rate if the target is cold. */
+    /** Occupies a place, and charges the request limit, and the cold rate if the target is cold. */
     void take(boolean forBatch, long now) {
         if (now - coldUntil < 0) {
             cold.take(1, now);
         }
+        requestLimit.take(now);
         count(forBatch, 1);
     }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetObserver.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetObserver.java
@@ -10,8 +10,8 @@
     void leaving(TargetEntry target);
 
     /**
-     * Called with what an answer says about the request limit of its target, if it names one, or if the answer is proved
-     * to be that of the target to the current request.
+     * Called with what an answer says about the request limit of its target, if it names one, or if the answer is
+     * proved to be that of the target to the current request.
      *
      * @param target The target.
      * @param perSecond The requests per second that it takes from all instances together; empty if it names no limit.
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
@@ -66,6 +66,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tanagermoor_gateway_PermitCall_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tanagermoor_gateway_TargetLimit_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tanagermoor_gateway_TargetLimit_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_tanagermoor_gateway_ShareLoan_descriptor;
   static final 
@@ -191,7 +196,7 @@
       "ey\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\r\n\005value\030\003 \001(\014" +
       "\"Y\n\tTableCopy\022\r\n\005table\030\001 \001(\t\022\020\n\010revision" +
       "\030\002 \001(\004\022+\n\004rows\030\003 \003(\0132\035.tanagermoor.gatew" +
-      "ay.TableRow\"\302\002\n\nPermitCall\022+\n\003ask\030\001 \001(\0132" +
+      "ay.TableRow\"\364\002\n\nPermitCall\022+\n\003ask\030\001 \001(\0132" +
       "\036.tanagermoor.gateway.PermitAsk\0222\n\007retur" +
       "ns\030\002 \003(\0132!.tanagermoor.gateway.PermitRet" +
       "urn\022\016\n\006resync\030\003 \001(\010\022-\n\004held\030\004 \003(\0132\037.tana" +
@@ -199,77 +204,83 @@
       "\003(\0132\".tanagermoor.gateway.LeavingTarget\022" +
       "1\n\007crashes\030\006 \003(\0132 .tanagermoor.gateway.C" +
       "rashReport\022,\n\004loan\030\007 \001(\0132\036.tanagermoor.g" +
-      "ateway.ShareLoan\"l\n\tShareLoan\022\r\n\005stamp\030\001" +
-      " \001(\004\022\024\n\014lease_millis\030\002 \001(\r\022\r\n\005fresh\030\003 \001(" +
-      "\010\022\034\n\024entrusted_ago_millis\030\004 \001(\004\022\r\n\005known" +
-      "\030\005 \001(\r\"\036\n\rShareClaimRow\022\r\n\005names\030\001 \003(\t\"3" +
-      "\n\rLeavingTarget\022\n\n\002id\030\001 \001(\t\022\026\n\016started_m" +
-      "illis\030\002 \001(\004\"\321\002\n\tPermitAsk\022\016\n\006permit\030\001 \001(" +
-      "\004\022\017\n\007service\030\002 \001(\t\022\014\n\004team\030\003 \001(\t\022\016\n\006doma" +
-      "in\030\004 \001(\t\022\022\n\nprompt_key\030\005 \001(\006\022\023\n\013wait_mil" +
-      "lis\030\006 \001(\r\022\026\n\016on_time_millis\030\007 \001(\005\022\r\n\005bat" +
-      "ch\030\010 \001(\010\022\020\n\010excluded\030\t \003(\t\022\021\n\treturning\030" +
-      "\n \001(\010\022-\n\004work\030\013 \001(\0132\037.tanagermoor.gatewa" +
-      "y.PermitWork\0220\n\006prompt\030\014 \001(\0132 .tanagermo" +
-      "or.gateway.PromptParts\022\r\n\005route\030\r \001(\t\022\016\n" +
-      "\006tokens\030\016 \001(\r\022\020\n\010priority\030\017 \001(\r\"3\n\nPermi" +
-      "tWork\022\016\n\006millis\030\001 \001(\r\022\025\n\rdone_permille\030\002" +
-      " \001(\r\"\326\002\n\014PermitReturn\022\016\n\006permit\030\001 \001(\004\022:\n" +
-      "\007outcome\030\002 \001(\0162).tanagermoor.gateway.Per" +
-      "mitReturn.Outcome\022\025\n\rfailed_answer\030\003 \001(\010" +
-      "\022\032\n\022first_event_millis\030\004 \001(\r\022\016\n\006events\030\005" +
-      " \001(\r\022\022\n\nrun_millis\030\006 \001(\r\022-\n\004load\030\007 \001(\0132\037" +
-      ".tanagermoor.gateway.TargetLoad\"t\n\007Outco" +
-      "me\022\n\n\006UNUSED\020\000\022\n\n\006SERVED\020\001\022\017\n\013UNREACHABL" +
-      "E\020\002\022\010\n\004FULL\020\003\022\n\n\006FAILED\020\004\022\013\n\007CRASHED\020\005\022\r" +
-      "\n\tABANDONED\020\006\022\016\n\nBROKEN_OFF\020\007\"g\n\nTargetL" +
-      "oad\022\017\n\007running\030\001 \001(\r\022\017\n\007waiting\030\002 \001(\r\022\r\n" +
-      "\005slots\030\003 \001(\r\022\024\n\014work_percent\030\004 \001(\r\022\022\n\nag" +
-      "e_millis\030\005 \001(\r\"\317\002\n\nRolloutRow\022\026\n\016order_r" +
-      "evision\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\017\n\007versio" +
-      "n\030\003 \001(\t\022\027\n\017duration_millis\030\004 \001(\004\0224\n\005phas" +
-      "e\030\005 \001(\0162%.tanagermoor.gateway.RolloutRow" +
-      ".Phase\022\016\n\006reason\030\006 \001(\t\022\020\n\010replaced\030\007 \003(\t" +
-      "\022\026\n\016elapsed_millis\030\010 \001(\004\022\024\n\014new_requests" +
-      "\030\t \001(\004\022\027\n\017new_bad_answers\030\n \001(\004\022\016\n\006write" +
-      "r\030\013 \001(\t\"?\n\005Phase\022\n\n\006CANARY\020\000\022\n\n\006MOVING\020\001" +
-      "\022\r\n\tCOMPLETED\020\002\022\017\n\013ROLLED_BACK\020\003\"\350\001\n\nHel" +
-      "dPermit\022\016\n\006permit\030\001 \001(\004\022\017\n\007service\030\002 \001(\t" +
-      "\022\016\n\006target\030\003 \001(\t\022\r\n\005batch\030\004 \001(\010\022\026\n\016on_ti" +
-      "me_millis\030\005 \001(\005\022-\n\004work\030\006 \001(\0132\037.tanagerm" +
-      "oor.gateway.PermitWork\0220\n\006prompt\030\007 \001(\0132 " +
-      ".tanagermoor.gateway.PromptParts\022\022\n\nage_" +
-      "millis\030\010 \001(\r\022\r\n\005route\030\t \001(\t\"\222\001\n\013CrashRep" +
-      "ort\022\016\n\006permit\030\001 \001(\004\022\016\n\006target\030\002 \001(\t\0220\n\006p" +
-      "rompt\030\003 \001(\0132 .tanagermoor.gateway.Prompt" +
-      "Parts\022\027\n\017sent_age_millis\030\004 \001(\r\022\030\n\020broke_" +
-      "age_millis\030\005 \001(\r\"\250\002\n\014PermitAnswer\0224\n\004kin" +
-      "d\030\001 \001(\0162&.tanagermoor.gateway.PermitAnsw" +
-      "er.Kind\022\016\n\006target\030\002 \001(\t\022\032\n\022retry_after_m" +
-      "illis\030\003 \001(\r\022\025\n\rleft_permille\030\004 \001(\r\022\016\n\006de" +
-      "tail\030\005 \001(\t\022\r\n\005stamp\030\006 \001(\004\022\023\n\013most_shares" +
-      "\030\007 \001(\010\"k\n\004Kind\022\010\n\004NONE\020\000\022\013\n\007GRANTED\020\001\022\020\n" +
-      "\014RATE_LIMITED\020\002\022\016\n\nOVERLOADED\020\003\022\r\n\tNO_TA" +
-      "RGET\020\004\022\n\n\006RESYNC\020\005\022\017\n\013QUARANTINED\020\006\"\037\n\014P" +
-      "ermitRecall\022\017\n\007permits\030\001 \003(\004\")\n\nItemHead" +
-      "er\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\";\n\013Promp" +
-      "tParts\022\016\n\006shared\030\001 \003(\t\022\013\n\003own\030\002 \001(\t\022\017\n\007c" +
-      "ontent\030\003 \001(\t\"\245\001\n\007JobItem\022\n\n\002id\030\001 \001(\t\022\014\n\004" +
-      "path\030\002 \001(\t\0220\n\007headers\030\003 \003(\0132\037.tanagermoo" +
-      "r.gateway.ItemHeader\022\014\n\004body\030\004 \001(\014\022\016\n\006to" +
-      "kens\030\005 \001(\004\0220\n\006prompt\030\006 \001(\0132 .tanagermoor" +
-      ".gateway.PromptParts\"9\n\nJobContent\022+\n\005it" +
-      "ems\030\001 \003(\0132\034.tanagermoor.gateway.JobItem\"" +
-      "\256\001\n\006JobRow\022\n\n\002id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004" +
-      "host\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022\027\n\017accepted_mil" +
-      "lis\030\005 \001(\004\022\r\n\005total\030\006 \001(\r\022\020\n\010recorded\030\007 \001" +
-      "(\r\022\r\n\005ended\030\010 \001(\010\022\026\n\016tokens_waiting\030\t \001(" +
-      "\004\022\r\n\005owner\030\n \001(\t\"L\n\nResultPart\022\014\n\004item\030\001" +
-      " \001(\t\022\021\n\tcompleted\030\002 \001(\010\022\016\n\006output\030\003 \001(\014\022" +
-      "\r\n\005parts\030\004 \001(\r\"R\n\014ItemProgress\022\014\n\004item\030\001" +
-      " \001(\t\022\022\n\nlast_event\030\002 \001(\004\022\016\n\006output\030\003 \001(\014" +
-      "\022\020\n\010failures\030\004 \001(\rB!\n\035org.tanagermoor.ga" +
-      "teway.protoP\001b\006proto3"
+      "ateway.ShareLoan\0220\n\006limits\030\010 \003(\0132 .tanag" +
+      "ermoor.gateway.TargetLimit\"\207\001\n\013TargetLim" +
+      "it\022\n\n\002id\030\001 \001(\t\022\026\n\016started_millis\030\002 \001(\004\022\027" +
+      "\n\nper_second\030\003 \001(\001H\000\210\001\001\022\022\n\nage_millis\030\004 " +
+      "\001(\r\022\030\n\020sent_ages_millis\030\005 \003(\rB\r\n\013_per_se" +
+      "cond\"l\n\tShareLoan\022\r\n\005stamp\030\001 \001(\004\022\024\n\014leas" +
+      "e_millis\030\002 \001(\r\022\r\n\005fresh\030\003 \001(\010\022\034\n\024entrust" +
+      "ed_ago_millis\030\004 \001(\004\022\r\n\005known\030\005 \001(\r\"\036\n\rSh" +
+      "areClaimRow\022\r\n\005names\030\001 \003(\t\"3\n\rLeavingTar" +
+      "get\022\n\n\002id\030\001 \001(\t\022\026\n\016started_millis\030\002 \001(\004\"" +
+      "\321\002\n\tPermitAsk\022\016\n\006permit\030\001 \001(\004\022\017\n\007service" +
+      "\030\002 \001(\t\022\014\n\004team\030\003 \001(\t\022\016\n\006domain\030\004 \001(\t\022\022\n\n" +
+      "prompt_key\030\005 \001(\006\022\023\n\013wait_millis\030\006 \001(\r\022\026\n" +
+      "\016on_time_millis\030\007 \001(\005\022\r\n\005batch\030\010 \001(\010\022\020\n\010" +
+      "excluded\030\t \003(\t\022\021\n\treturning\030\n \001(\010\022-\n\004wor" +
+      "k\030\013 \001(\0132\037.tanagermoor.gateway.PermitWork" +
+      "\0220\n\006prompt\030\014 \001(\0132 .tanagermoor.gateway.P" +
+      "romptParts\022\r\n\005route\030\r \001(\t\022\016\n\006tokens\030\016 \001(" +
+      "\r\022\020\n\010priority\030\017 \001(\r\"3\n\nPermitWork\022\016\n\006mil" +
+      "lis\030\001 \001(\r\022\025\n\rdone_permille\030\002 \001(\r\"\326\002\n\014Per" +
+      "mitReturn\022\016\n\006permit\030\001 \001(\004\022:\n\007outcome\030\002 \001" +
+      "(\0162).tanagermoor.gateway.PermitReturn.Ou" +
+      "tcome\022\025\n\rfailed_answer\030\003 \001(\010\022\032\n\022first_ev" +
+      "ent_millis\030\004 \001(\r\022\016\n\006events\030\005 \001(\r\022\022\n\nrun_" +
+      "millis\030\006 \001(\r\022-\n\004load\030\007 \001(\0132\037.tanagermoor" +
+      ".gateway.TargetLoad\"t\n\007Outcome\022\n\n\006UNUSED" +
+      "\020\000\022\n\n\006SERVED\020\001\022\017\n\013UNREACHABLE\020\002\022\010\n\004FULL\020" +
+      "\003\022\n\n\006FAILED\020\004\022\013\n\007CRASHED\020\005\022\r\n\tABANDONED\020" +
+      "\006\022\016\n\nBROKEN_OFF\020\007\"g\n\nTargetLoad\022\017\n\007runni" +
+      "ng\030\001 \001(\r\022\017\n\007waiting\030\002 \001(\r\022\r\n\005slots\030\003 \001(\r" +
+      "\022\024\n\014work_percent\030\004 \001(\r\022\022\n\nage_millis\030\005 \001" +
+      "(\r\"\317\002\n\nRolloutRow\022\026\n\016order_revision\030\001 \001(" +
+      "\004\022\017\n\007service\030\002 \001(\t\022\017\n\007version\030\003 \001(\t\022\027\n\017d" +
+      "uration_millis\030\004 \001(\004\0224\n\005phase\030\005 \001(\0162%.ta" +
+      "nagermoor.gateway.RolloutRow.Phase\022\016\n\006re" +
+      "ason\030\006 \001(\t\022\020\n\010replaced\030\007 \003(\t\022\026\n\016elapsed_" +
+      "millis\030\010 \001(\004\022\024\n\014new_requests\030\t \001(\004\022\027\n\017ne" +
+      "w_bad_answers\030\n \001(\004\022\016\n\006writer\030\013 \001(\t\"?\n\005P" +
+      "hase\022\n\n\006CANARY\020\000\022\n\n\006MOVING\020\001\022\r\n\tCOMPLETE" +
+      "D\020\002\022\017\n\013ROLLED_BACK\020\003\"\350\001\n\nHeldPermit\022\016\n\006p" +
+      "ermit\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\016\n\006target\030\003" +
+      " \001(\t\022\r\n\005batch\030\004 \001(\010\022\026\n\016on_time_millis\030\005 " +
+      "\001(\005\022-\n\004work\030\006 \001(\0132\037.tanagermoor.gateway." +
+      "PermitWork\0220\n\006prompt\030\007 \001(\0132 .tanagermoor" +
+      ".gateway.PromptParts\022\022\n\nage_millis\030\010 \001(\r" +
+      "\022\r\n\005route\030\t \001(\t\"\222\001\n\013CrashReport\022\016\n\006permi" +
+      "t\030\001 \001(\004\022\016\n\006target\030\002 \001(\t\0220\n\006prompt\030\003 \001(\0132" +
+      " .tanagermoor.gateway.PromptParts\022\027\n\017sen" +
+      "t_age_millis\030\004 \001(\r\022\030\n\020broke_age_millis\030\005" +
+      " \001(\r\"\331\002\n\014PermitAnswer\0224\n\004kind\030\001 \001(\0162&.ta" +
+      "nagermoor.gateway.PermitAnswer.Kind\022\016\n\006t" +
+      "arget\030\002 \001(\t\022\032\n\022retry_after_millis\030\003 \001(\r\022" +
+      "\025\n\rleft_permille\030\004 \001(\r\022\016\n\006detail\030\005 \001(\t\022\r" +
+      "\n\005stamp\030\006 \001(\004\022\023\n\013most_shares\030\007 \001(\010\022/\n\005li" +
+      "mit\030\010 \001(\0132 .tanagermoor.gateway.TargetLi" +
+      "mit\"k\n\004Kind\022\010\n\004NONE\020\000\022\013\n\007GRANTED\020\001\022\020\n\014RA" +
+      "TE_LIMITED\020\002\022\016\n\nOVERLOADED\020\003\022\r\n\tNO_TARGE" +
+      "T\020\004\022\n\n\006RESYNC\020\005\022\017\n\013QUARANTINED\020\006\"\037\n\014Perm" +
+      "itRecall\022\017\n\007permits\030\001 \003(\004\")\n\nItemHeader\022" +
+      "\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\";\n\013PromptPa" +
+      "rts\022\016\n\006shared\030\001 \003(\t\022\013\n\003own\030\002 \001(\t\022\017\n\007cont" +
+      "ent\030\003 \001(\t\"\245\001\n\007JobItem\022\n\n\002id\030\001 \001(\t\022\014\n\004pat" +
+      "h\030\002 \001(\t\0220\n\007headers\030\003 \003(\0132\037.tanagermoor.g" +
+      "ateway.ItemHeader\022\014\n\004body\030\004 \001(\014\022\016\n\006token" +
+      "s\030\005 \001(\004\0220\n\006prompt\030\006 \001(\0132 .tanagermoor.ga" +
+      "teway.PromptParts\"9\n\nJobContent\022+\n\005items" +
+      "\030\001 \003(\0132\034.tanagermoor.gateway.JobItem\"\256\001\n" +
+      "\006JobRow\022\n\n\002id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004hos" +
+      "t\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022\027\n\017accepted_millis" +
+      "\030\005 \001(\004\022\r\n\005total\030\006 \001(\r\022\020\n\010recorded\030\007 \001(\r\022" +
+      "\r\n\005ended\030\010 \001(\010\022\026\n\016tokens_waiting\030\t \001(\004\022\r" +
+      "\n\005owner\030\n \001(\t\"L\n\nResultPart\022\014\n\004item\030\001 \001(" +
+      "\t\022\021\n\tcompleted\030\002 \001(\010\022\016\n\006output\030\003 \001(\014\022\r\n\005" +
+      "parts\030\004 \001(\r\"R\n\014ItemProgress\022\014\n\004item\030\001 \001(" +
+      "\t\022\022\n\nlast_event\030\002 \001(\004\022\016\n\006output\030\003 \001(\014\022\020\n" +
+      "\010failures\030\004 \001(\rB!\n\035org.tanagermoor.gatew" +
+      "ay.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -322,117 +333,123 @@
     internal_static_tanagermoor_gateway_PermitCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitCall_descriptor,
-        new java.lang.String[] { "Ask", "Returns", "Resync", "Held", "Leaving", "Crashes", "Loan", });
-    internal_static_tanagermoor_gateway_ShareLoan_descriptor =
+        new java.lang.String[] { "Ask", "Returns", "Resync", "Held", "Leaving", "Crashes", "Loan", "Limits", });
+    internal_static_tanagermoor_gateway_TargetLimit_descriptor =
       getDescriptor().getMessageType(8);
+    internal_static_tanagermoor_gateway_TargetLimit_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tanagermoor_gateway_TargetLimit_descriptor,
+        new java.lang.String[] { "Id", "StartedMillis", "PerSecond", "AgeMillis", "SentAgesMillis", });
+    internal_static_tanagermoor_gateway_ShareLoan_descriptor =
+      getDescriptor().getMessageType(9);
     internal_static_tanagermoor_gateway_ShareLoan_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ShareLoan_descriptor,
         new java.lang.String[] { "Stamp", "LeaseMillis", "Fresh", "EntrustedAgoMillis", "Known", });
     internal_static_tanagermoor_gateway_ShareClaimRow_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_tanagermoor_gateway_ShareClaimRow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ShareClaimRow_descriptor,
         new java.lang.String[] { "Names", });
     internal_static_tanagermoor_gateway_LeavingTarget_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_tanagermoor_gateway_LeavingTarget_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_LeavingTarget_descriptor,
         new java.lang.String[] { "Id", "StartedMillis", });
     internal_static_tanagermoor_gateway_PermitAsk_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_tanagermoor_gateway_PermitAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitAsk_descriptor,
         new java.lang.String[] { "Permit", "Service", "Team", "Domain", "PromptKey", "WaitMillis", "OnTimeMillis", "Batch", "Excluded", "Returning", "Work", "Prompt", "Route", "Tokens", "Priority", });
     internal_static_tanagermoor_gateway_PermitWork_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_tanagermoor_gateway_PermitWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitWork_descriptor,
         new java.lang.String[] { "Millis", "DonePermille", });
     internal_static_tanagermoor_gateway_PermitReturn_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_tanagermoor_gateway_PermitReturn_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitReturn_descriptor,
         new java.lang.String[] { "Permit", "Outcome", "FailedAnswer", "FirstEventMillis", "Events", "RunMillis", "Load", });
     internal_static_tanagermoor_gateway_TargetLoad_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_tanagermoor_gateway_TargetLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_TargetLoad_descriptor,
         new java.lang.String[] { "Running", "Waiting", "Slots", "WorkPercent", "AgeMillis", });
     internal_static_tanagermoor_gateway_RolloutRow_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_tanagermoor_gateway_RolloutRow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_RolloutRow_descriptor,
         new java.lang.String[] { "OrderRevision", "Service", "Version", "DurationMillis", "Phase", "Reason", "Replaced", "ElapsedMillis", "NewRequests", "NewBadAnswers", "Writer", });
     internal_static_tanagermoor_gateway_HeldPermit_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_tanagermoor_gateway_HeldPermit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_HeldPermit_descriptor,
         new java.lang.String[] { "Permit", "Service", "Target", "Batch", "OnTimeMillis", "Work", "Prompt", "AgeMillis", "Route", });
     internal_static_tanagermoor_gateway_CrashReport_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_tanagermoor_gateway_CrashReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_CrashReport_descriptor,
         new java.lang.String[] { "Permit", "Target", "Prompt", "SentAgeMillis", "BrokeAgeMillis", });
     internal_static_tanagermoor_gateway_PermitAnswer_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_tanagermoor_gateway_PermitAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitAnswer_descriptor,
-        new java.lang.String[] { "Kind", "Target", "RetryAfterMillis", "LeftPermille", "Detail", "Stamp", "MostShares", });
+        new java.lang.String[] { "Kind", "Target", "RetryAfterMillis", "LeftPermille", "Detail", "Stamp", "MostShares", "Limit", });
     internal_static_tanagermoor_gateway_PermitRecall_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_tanagermoor_gateway_PermitRecall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PermitRecall_descriptor,
         new java.lang.String[] { "Permits", });
     internal_static_tanagermoor_gateway_ItemHeader_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_tanagermoor_gateway_ItemHeader_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ItemHeader_descriptor,
         new java.lang.String[] { "Name", "Value", });
     internal_static_tanagermoor_gateway_PromptParts_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_tanagermoor_gateway_PromptParts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_PromptParts_descriptor,
         new java.lang.String[] { "Shared", "Own", "Content", });
     internal_static_tanagermoor_gateway_JobItem_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_tanagermoor_gateway_JobItem_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_JobItem_descriptor,
         new java.lang.String[] { "Id", "Path", "Headers", "Body", "Tokens", "Prompt", });
     internal_static_tanagermoor_gateway_JobContent_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_tanagermoor_gateway_JobContent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_JobContent_descriptor,
         new java.lang.String[] { "Items", });
     internal_static_tanagermoor_gateway_JobRow_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(25);
     internal_static_tanagermoor_gateway_JobRow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_JobRow_descriptor,
         new java.lang.String[] { "Id", "Team", "Host", "Path", "AcceptedMillis", "Total", "Recorded", "Ended", "TokensWaiting", "Owner", });
     internal_static_tanagermoor_gateway_ResultPart_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(26);
     internal_static_tanagermoor_gateway_ResultPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ResultPart_descriptor,
         new java.lang.String[] { "Item", "Completed", "Output", "Parts", });
     internal_static_tanagermoor_gateway_ItemProgress_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(27);
     internal_static_tanagermoor_gateway_ItemProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_ItemProgress_descriptor,
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAnswer.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAnswer.java
@@ -213,6 +213,7 @@
     // @@protoc_insertion_point(enum_scope:tanagermoor.gateway.PermitAnswer.Kind)
   }
 
+  private int bitField0_;
   public static final int KIND_FIELD_NUMBER = 1;
   private int kind_ = 0;
   /**
@@ -373,6 +374,44 @@
     return mostShares_;
   }
 
+  public static final int LIMIT_FIELD_NUMBER = 8;
+  private org.tanagermoor.gateway.proto.TargetLimit limit_;
+  /**
+   * <pre>
+   * The request limit of the granted target, if the dispatcher knows one.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.TargetLimit limit = 8;</code>
+   * @return Whether the limit field is set.
+   */
+  @java.lang.Override
+  public boolean hasLimit() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * The request limit of the granted target, if the dispatcher knows one.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.TargetLimit limit = 8;</code>
+   * @return The limit.
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.TargetLimit getLimit() {
+    return limit_ == null ? org.tanagermoor.gateway.proto.TargetLimit.getDefaultInstance() : limit_;
+  }
+  /**
+   * <pre>
+   * The request limit of the granted target, if the dispatcher knows one.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.TargetLimit limit = 8;</code>
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.TargetLimitOrBuilder getLimitOrBuilder() {
+    return limit_ == null ? org.tanagermoor.gateway.proto.TargetLimit.getDefaultInstance() : limit_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -408,6 +447,9 @@
     if (mostShares_ != false) {
       output.writeBool(7, mostShares_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(8, getLimit());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -438,6 +480,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(7, mostShares_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, getLimit());
+    }
     return size;
   }
   @java.lang.Override
@@ -475,6 +521,11 @@
         != other.getStamp()) return false;
     if (getMostShares()
         != other.getMostShares()) return false;
+    if (hasLimit() != other.hasLimit()) return false;
+    if (hasLimit()) {
+      if (!getLimit()
+          .equals(other.getLimit())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -502,6 +553,10 @@
     hash = (37 * hash) + MOST_SHARES_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getMostShares());
+    if (hasLimit()) {
+      hash = (37 * hash) + LIMIT_FIELD_NUMBER;
+      hash = (53 * hash) + getLimit().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -621,13 +676,19 @@
 
     // Construct using org.tanagermoor.gateway.proto.PermitAnswer.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetLimitFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -640,6 +701,11 @@
       detail_ = "";
       stamp_ = 0L;
       mostShares_ = false;
+      limit_ = null;
+      if (limitBuilder_ != null) {
+        limitBuilder_.dispose();
+        limitBuilder_ = null;
+      }
       return this;
     }
 
@@ -694,6 +760,14 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.mostShares_ = mostShares_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.limit_ = limitBuilder_ == null
+            ? limit_
+            : limitBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -733,6 +807,9 @@
       if (other.getMostShares() != false) {
         setMostShares(other.getMostShares());
       }
+      if (other.hasLimit()) {
+        mergeLimit(other.getLimit());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -792,6 +869,13 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 66: {
+              input.readMessage(
+                  internalGetLimitFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1189,6 +1273,161 @@
       return this;
     }
 
+    private org.tanagermoor.gateway.proto.TargetLimit limit_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tanagermoor.gateway.proto.TargetLimit, org.tanagermoor.gateway.proto.TargetLimit.Builder, org.tanagermoor.gateway.proto.TargetLimitOrBuilder> limitBuilder_;
+    /**
+     * <pre>
+     * The request limit of the granted target, if the dispatcher knows one.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLimit limit = 8;</code>
+     * @return Whether the limit field is set.
+     */
+    public boolean hasLimit() {
+      return ((bitField0_ & 0x00000080) != 0);
+    }
+    /**
+     * <pre>
+     * The request limit of the granted target, if the dispatcher knows one.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLimit limit = 8;</code>
+     * @return The limit.
+     */
+    public org.tanagermoor.gateway.proto.TargetLimit getLimit() {
+      if (limitBuilder_ == null) {
+        return limit_ == null ? org.tanagermoor.gateway.proto.TargetLimit.getDefaultInstance() : limit_;
+      } else {
+        return limitBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * The request limit of the granted target, if the dispatcher knows one.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLimit limit = 8;</code>
+     */
+    public Builder setLimit(org.tanagermoor.gateway.proto.TargetLimit value) {
+      if (limitBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        limit_ = value;
+      } else {
+        limitBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The request limit of the granted target, if the dispatcher knows one.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLimit limit = 8;</code>
+     */
+    public Builder setLimit(
+        org.tanagermoor.gateway.proto.TargetLimit.Builder builderForValue) {
+      if (limitBuilder_ == null) {
+        limit_ = builderForValue.build();
+      } else {
+        limitBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The request limit of the granted target, if the dispatcher knows one.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLimit limit = 8;</code>
+     */
+    public Builder mergeLimit(org.tanagermoor.gateway.proto.TargetLimit value) {
+      if (limitBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0) &&
+          limit_ != null &&
+          limit_ != org.tanagermoor.gateway.proto.TargetLimit.getDefaultInstance()) {
+          getLimitBuilder().mergeFrom(value);
+        } else {
+          limit_ = value;
+        }
+      } else {
+        limitBuilder_.mergeFrom(value);
+      }
+      if (limit_ != null) {
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The request limit of the granted target, if the dispatcher knows one.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLimit limit = 8;</code>
+     */
+    public Builder clearLimit() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      limit_ = null;
+      if (limitBuilder_ != null) {
+        limitBuilder_.dispose();
+        limitBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The request limit of the granted target, if the dispatcher knows one.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLimit limit = 8;</code>
+     */
+    public org.tanagermoor.gateway.proto.TargetLimit.Builder getLimitBuilder() {
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return internalGetLimitFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * The request limit of the granted target, if the dispatcher knows one.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLimit limit = 8;</code>
+     */
+    public org.tanagermoor.gateway.proto.TargetLimitOrBuilder getLimitOrBuilder() {
+      if (limitBuilder_ != null) {
+        return limitBuilder_.getMessageOrBuilder();
+      } else {
+        return limit_ == null ?
+            org.tanagermoor.gateway.proto.TargetLimit.getDefaultInstance() : limit_;
+      }
+    }
+    /**
+     * <pre>
+     * The request limit of the granted target, if the dispatcher knows one.
+     * </pre>
+     *
+     * <code>.tanagermoor.gateway.TargetLimit limit = 8;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tanagermoor.gateway.proto.TargetLimit, org.tanagermoor.gateway.proto.TargetLimit.Builder, org.tanagermoor.gateway.proto.TargetLimitOrBuilder> 
+        internalGetLimitFieldBuilder() {
+      if (limitBuilder_ == null) {
+        limitBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.tanagermoor.gateway.proto.TargetLimit, org.tanagermoor.gateway.proto.TargetLimit.Builder, org.tanagermoor.gateway.proto.TargetLimitOrBuilder>(
+                getLimit(),
+                getParentForChildren(),
+                isClean());
+        limit_ = null;
+      }
+      return limitBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.PermitAnswer)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAnswerOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitAnswerOrBuilder.java
@@ -88,4 +88,31 @@
    * @return The mostShares.
    */
   boolean getMostShares();
+
+  /**
+   * <pre>
+   * The request limit of the granted target, if the dispatcher knows one.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.TargetLimit limit = 8;</code>
+   * @return Whether the limit field is set.
+   */
+  boolean hasLimit();
+  /**
+   * <pre>
+   * The request limit of the granted target, if the dispatcher knows one.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.TargetLimit limit = 8;</code>
+   * @return The limit.
+   */
+  org.tanagermoor.gateway.proto.TargetLimit getLimit();
+  /**
+   * <pre>
+   * The request limit of the granted target, if the dispatcher knows one.
+   * </pre>
+   *
+   * <code>.tanagermoor.gateway.TargetLimit limit = 8;</code>
+   */
+  org.tanagermoor.gateway.proto.TargetLimitOrBuilder getLimitOrBuilder();
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitCall.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitCall.java
@@ -37,6 +37,7 @@
     held_ = java.util.Collections.emptyList();
     leaving_ = java.util.Collections.emptyList();
     crashes_ = java.util.Collections.emptyList();
+    limits_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -337,6 +338,67 @@
     return loan_ == null ? org.tanagermoor.gateway.proto.ShareLoan.getDefaultInstance() : loan_;
   }
 
+  public static final int LIMITS_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<org.tanagermoor.gateway.proto.TargetLimit> limits_;
+  /**
+   * <pre>
+   * What targets have told the sender about their request limits since its last message.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.tanagermoor.gateway.proto.TargetLimit> getLimitsList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * What targets have told the sender about their request limits since its last message.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.tanagermoor.gateway.proto.TargetLimitOrBuilder> 
+      getLimitsOrBuilderList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * What targets have told the sender about their request limits since its last message.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+   */
+  @java.lang.Override
+  public int getLimitsCount() {
+    return limits_.size();
+  }
+  /**
+   * <pre>
+   * What targets have told the sender about their request limits since its last message.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.TargetLimit getLimits(int index) {
+    return limits_.get(index);
+  }
+  /**
+   * <pre>
+   * What targets have told the sender about their request limits since its last message.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+   */
+  @java.lang.Override
+  public org.tanagermoor.gateway.proto.TargetLimitOrBuilder getLimitsOrBuilder(
+      int index) {
+    return limits_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -372,6 +434,9 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(7, getLoan());
     }
+    for (int i = 0; i < limits_.size(); i++) {
+      output.writeMessage(8, limits_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -424,6 +489,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(7, getLoan());
     }
+
+        {
+          final int count = limits_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(limits_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -468,6 +542,8 @@
       if (!getLoan()
           .equals(other.getLoan())) return false;
     }
+    if (!getLimitsList()
+        .equals(other.getLimitsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -506,6 +582,10 @@
       hash = (37 * hash) + LOAN_FIELD_NUMBER;
       hash = (53 * hash) + getLoan().hashCode();
     }
+    if (getLimitsCount() > 0) {
+      hash = (37 * hash) + LIMITS_FIELD_NUMBER;
+      hash = (53 * hash) + getLimitsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -647,6 +727,7 @@
         internalGetLeavingFieldBuilder();
         internalGetCrashesFieldBuilder();
         internalGetLoanFieldBuilder();
+        internalGetLimitsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -692,6 +773,13 @@
         loanBuilder_.dispose();
         loanBuilder_ = null;
       }
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+      } else {
+        limits_ = null;
+        limitsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000080);
       return this;
     }
 
@@ -761,6 +849,15 @@
       } else {
         result.crashes_ = crashesBuilder_.build();
       }
+      if (limitsBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0)) {
+          limits_ = java.util.Collections.unmodifiableList(limits_);
+          bitField0_ = (bitField0_ & ~0x00000080);
+        }
+        result.limits_ = limits_;
+      } else {
+        result.limits_ = limitsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.tanagermoor.gateway.proto.PermitCall result) {
@@ -909,6 +1006,32 @@
       if (other.hasLoan()) {
         mergeLoan(other.getLoan());
       }
+      if (limitsBuilder_ == null) {
+        if (!other.limits_.isEmpty()) {
+          if (limits_.isEmpty()) {
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+          } else {
+            ensureLimitsIsMutable();
+            limits_.addAll(other.limits_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.limits_.isEmpty()) {
+          if (limitsBuilder_.isEmpty()) {
+            limitsBuilder_.dispose();
+            limitsBuilder_ = null;
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+            limitsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLimitsFieldBuilder() : null;
+          } else {
+            limitsBuilder_.addAllMessages(other.limits_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1004,6 +1127,19 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 58
+            case 66: {
+              org.tanagermoor.gateway.proto.TargetLimit m =
+                  input.readMessage(
+                      org.tanagermoor.gateway.proto.TargetLimit.parser(),
+                      extensionRegistry);
+              if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.add(m);
+              } else {
+                limitsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2407,6 +2543,312 @@
       return loanBuilder_;
     }
 
+    private java.util.List<org.tanagermoor.gateway.proto.TargetLimit> limits_ =
+      java.util.Collections.emptyList();
+    private void ensureLimitsIsMutable() {
+      if (!((bitField0_ & 0x00000080) != 0)) {
+        limits_ = new java.util.ArrayList<org.tanagermoor.gateway.proto.TargetLimit>(limits_);
+        bitField0_ |= 0x00000080;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.tanagermoor.gateway.proto.TargetLimit, org.tanagermoor.gateway.proto.TargetLimit.Builder, org.tanagermoor.gateway.proto.TargetLimitOrBuilder> limitsBuilder_;
+
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public java.util.List<org.tanagermoor.gateway.proto.TargetLimit> getLimitsList() {
+      if (limitsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(limits_);
+      } else {
+        return limitsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public int getLimitsCount() {
+      if (limitsBuilder_ == null) {
+        return limits_.size();
+      } else {
+        return limitsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public org.tanagermoor.gateway.proto.TargetLimit getLimits(int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);
+      } else {
+        return limitsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public Builder setLimits(
+        int index, org.tanagermoor.gateway.proto.TargetLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.set(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public Builder setLimits(
+        int index, org.tanagermoor.gateway.proto.TargetLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public Builder addLimits(org.tanagermoor.gateway.proto.TargetLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.add(value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public Builder addLimits(
+        int index, org.tanagermoor.gateway.proto.TargetLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.add(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public Builder addLimits(
+        org.tanagermoor.gateway.proto.TargetLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public Builder addLimits(
+        int index, org.tanagermoor.gateway.proto.TargetLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public Builder addAllLimits(
+        java.lang.Iterable<? extends org.tanagermoor.gateway.proto.TargetLimit> values) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, limits_);
+        onChanged();
+      } else {
+        limitsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public Builder clearLimits() {
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);
+        onChanged();
+      } else {
+        limitsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public Builder removeLimits(int index) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.remove(index);
+        onChanged();
+      } else {
+        limitsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public org.tanagermoor.gateway.proto.TargetLimit.Builder getLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public org.tanagermoor.gateway.proto.TargetLimitOrBuilder getLimitsOrBuilder(
+        int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);  } else {
+        return limitsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public java.util.List<? extends org.tanagermoor.gateway.proto.TargetLimitOrBuilder> 
+         getLimitsOrBuilderList() {
+      if (limitsBuilder_ != null) {
+        return limitsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(limits_);
+      }
+    }
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public org.tanagermoor.gateway.proto.TargetLimit.Builder addLimitsBuilder() {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          org.tanagermoor.gateway.proto.TargetLimit.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public org.tanagermoor.gateway.proto.TargetLimit.Builder addLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          index, org.tanagermoor.gateway.proto.TargetLimit.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What targets have told the sender about their request limits since its last message.
+     * </pre>
+     *
+     * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+     */
+    public java.util.List<org.tanagermoor.gateway.proto.TargetLimit.Builder> 
+         getLimitsBuilderList() {
+      return internalGetLimitsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.tanagermoor.gateway.proto.TargetLimit, org.tanagermoor.gateway.proto.TargetLimit.Builder, org.tanagermoor.gateway.proto.TargetLimitOrBuilder> 
+        internalGetLimitsFieldBuilder() {
+      if (limitsBuilder_ == null) {
+        limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.tanagermoor.gateway.proto.TargetLimit, org.tanagermoor.gateway.proto.TargetLimit.Builder, org.tanagermoor.gateway.proto.TargetLimitOrBuilder>(
+                limits_,
+                ((bitField0_ & 0x00000080) != 0),
+                getParentForChildren(),
+                isClean());
+        limits_ = null;
+      }
+      return limitsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.PermitCall)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitCallOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/PermitCallOrBuilder.java
@@ -193,4 +193,48 @@
    * <code>.tanagermoor.gateway.ShareLoan loan = 7;</code>
    */
   org.tanagermoor.gateway.proto.ShareLoanOrBuilder getLoanOrBuilder();
+
+  /**
+   * <pre>
+   * What targets have told the sender about their request limits since its last message.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+   */
+  java.util.List<org.tanagermoor.gateway.proto.TargetLimit> 
+      getLimitsList();
+  /**
+   * <pre>
+   * What targets have told the sender about their request limits since its last message.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+   */
+  org.tanagermoor.gateway.proto.TargetLimit getLimits(int index);
+  /**
+   * <pre>
+   * What targets have told the sender about their request limits since its last message.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+   */
+  int getLimitsCount();
+  /**
+   * <pre>
+   * What targets have told the sender about their request limits since its last message.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+   */
+  java.util.List<? extends org.tanagermoor.gateway.proto.TargetLimitOrBuilder> 
+      getLimitsOrBuilderList();
+  /**
+   * <pre>
+   * What targets have told the sender about their request limits since its last message.
+   * </pre>
+   *
+   * <code>repeated .tanagermoor.gateway.TargetLimit limits = 8;</code>
+   */
+  org.tanagermoor.gateway.proto.TargetLimitOrBuilder getLimitsOrBuilder(
+      int index);
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchCodecTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/DispatchCodecTest.java
@@ -3,7 +3,9 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -11,9 +13,11 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagermoor.gateway.forward.TargetLoad;
 import org.tanagermoor.gateway.proto.PermitAsk;
 import org.tanagermoor.gateway.proto.PermitReturn;
+import org.tanagermoor.gateway.proto.TargetLimit;
 
 /** Tests the conversion of asks to and from messages. */
 final class DispatchCodecTest {
@@ -47,6 +51,32 @@
         assertThat(DispatchCodec.toMessage(ask).getPriority(), is(0));
     }
 
+    /** A request limit is read as it was written, also one of nothing, and its age includes the wait before sending. */
+    @ParameterizedTest
+    @CsvSource(
+            value = {"3.4", "0", "null"},
+            nullValues = "null")
+    void keepsARequestLimit(Double perSecond) {
+        OptionalDouble limit = perSecond == null ? OptionalDouble.empty() : OptionalDouble.of(perSecond);
+        long sentAt = TimeUnit.SECONDS.toNanos(50);
+        long readAt = TimeUnit.SECONDS.toNanos(9);
+        LimitReport report = new LimitReport("t", 1_700_000_000_000L, limit, sentAt - millis(35))
+                .withSent(List.of(sentAt - millis(900), sentAt));
+        LimitReport read = DispatchCodec.fromMessage(DispatchCodec.toMessage(report, sentAt), readAt);
+        assertThat(
+                read,
+                is(new LimitReport("t", 1_700_000_000_000L, limit, readAt - millis(35))
+                        .withSent(List.of(readAt - millis(900), readAt))));
+    }
+
+    /** A request limit that no target can mean counts as none, and does not fail the message. */
+    @ParameterizedTest
+    @ValueSource(doubles = {-1, Double.NaN, Double.POSITIVE_INFINITY})
+    void readsAnImpossibleRequestLimitAsNone(double perSecond) {
+        TargetLimit message = TargetLimit.newBuilder().setPerSecond(perSecond).build();
+        assertThat(DispatchCodec.fromMessage(message, 0).perSecond(), is(OptionalDouble.empty()));
+    }
+
     /** The end of a run is read as it was written, and the age of a load report includes the wait before sending. */
     @ParameterizedTest
     @EnumSource(PlaceOutcome.class)
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/LimitReportsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/LimitReportsTest.java
@@ -10,11 +10,12 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.tanagermoor.kernel.event.EventLog;
 
 /** Guards against a dispatcher that does not learn of a request limit, its change or its end. */
 final class LimitReportsTest {
 
-    private final LimitReports reports = LimitReports.of();
+    private final LimitReports reports = LimitReports.of(new EventLog.Disabled());
 
     private long now = TimeUnit.SECONDS.toNanos(1_000);
 
@@ -64,6 +65,23 @@
         assertThat(reports.take("y", now), containsInAnyOrder(named("a", 3), named("b", 7)));
     }
 
+    /** A new dispatcher must be told what was sent recently, also if the first message to it is lost. */
+    @Test
+    void tellsANewDispatcherWhatWasSent() {
+        reports.observe(named("a", 3));
+        reports.sent("a", now);
+        reports.sent("b", now);
+        assertThat(reports.take("x", now).get(0).sent(), contains(now));
+        long first = now;
+        advance(4_000);
+        reports.sent("a", now);
+        List<LimitReport> lost = reports.take("y", now);
+        assertThat(lost.get(0).sent(), contains(first, now));
+        reports.lost(lost);
+        advance(1_500);
+        assertThat(reports.take("y", now).get(0).sent(), contains(now - TimeUnit.MILLISECONDS.toNanos(1_500)));
+    }
+
     /** An instance that has never seen the limit of a target must report its end. */
     @Test
     void reportsTheEndOfALimitThatOnlyTheDispatcherKnew() {
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/LoadMonitorTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/LoadMonitorTest.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.tanagermoor.gateway.forward.TargetLoad;
@@ -34,6 +35,20 @@
         assertThat(registry.counter("dispatch.targets-limited").getCount(), is(0L));
     }
 
+    /** A target that names a request limit must count until it no longer does. */
+    @Test
+    void countsTheTargetsThatNameALimit() {
+        MetricRegistry registry = new MetricRegistry();
+        LoadMonitor monitor = LoadMonitor.of(dispatcher, new EventLog.Disabled(), registry);
+        dispatcher.limits().report(new LimitReport("a", 0, OptionalDouble.of(2), now), now);
+        monitor.tick();
+        assertThat(registry.counter("dispatch.targets-naming-a-limit").getCount(), is(1L));
+        advance(1_000);
+        dispatcher.limits().report(new LimitReport("a", 0, OptionalDouble.empty(), now), now);
+        monitor.tick();
+        assertThat(registry.counter("dispatch.targets-naming-a-limit").getCount(), is(0L));
+    }
+
     private void answer(long permit) {
         RunAnswer answer = new RunAnswer(
                 false,
