Run items that are held back within the time in which their job is due

An item with a part that is held back paused for four fifths of the time for its job divided by its attempts (16 s on the deployments, 32 s in HeldItemsSessionTest) after each run that failed, so that a sound item was late although targets had long been sound again. Its first attempts in isolation are now made within the time in which the job is due; afterwards it pauses as before.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemHold.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemHold.java
@@ -38,6 +38,12 @@
     /** Monotonic time in nanoseconds of the last run that failed and may have begun; empty if there is none. */
     private OptionalLong failedAt = OptionalLong.empty();
 
+    /** Whether a part of the prompt was held back when the current run started. */
+    private boolean isolated;
+
+    /** Number of runs that failed although a part of the prompt was held back when they started. */
+    private int isolatedFailures;
+
     ItemHold(JobContext context, String job, String item, Prompt prompt) {
         this.context = context;
         this.job = job;
@@ -53,11 +59,13 @@
     /** Notes that a run started at the given monotonic time in nanoseconds has failed. */
     void runFailed(long now) {
         failedAt = OptionalLong.of(now);
+        isolatedFailures += isolated ? 1 : 0;
     }
 
     /** Notes that a run starts. */
     void runStarted() {
         logged = false;
+        isolated = heldBack();
     }
 
     /**
@@ -99,9 +107,16 @@
         return Math.min(MAX_PAUSE_MILLIS, millis);
     }
 
-    private static long pauseNanos(Route route) {
+    /**
+     * Returns the time from a failed run to the next ask, in nanoseconds. The first attempts are made in the time in
+     * which the job is due, since its caller needs an item in that time whose part was accused wrongly.
+     */
+    private long pauseNanos(Route route) {
+        boolean due = isolatedFailures < route.attempts();
+        long millis = route.batch().abandonMillis();
         return IsolatedRuns.pauseNanos(
-                TimeUnit.MILLISECONDS.toNanos(route.batch().abandonMillis()), route.attempts());
+                TimeUnit.MILLISECONDS.toNanos(due ? Math.min(route.batch().completionMillis(), millis) : millis),
+                route.attempts());
     }
 
     private void log(String detail) {
