--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/TargetLimitLoadTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/TargetLimitLoadTest.java
@@ -47,6 +47,18 @@
         }
     }
 
+    /** Three in ten messages are lost between many instances. */
+    @Test
+    void sendsNoMoreThanTheLimitWhileManyMessagesAreLost() {
+        LimitFleet fleet = new LimitFleet(1_011, 11, 3);
+        fleet.advance(3_000, 1_000);
+        fleet.lostShare(0.3);
+        fleet.limit(0, OptionalDouble.of(2.5));
+        long named = fleet.millis();
+        fleet.advance(20_000, 1_000);
+        assertKept(fleet, 0, 2.5, named + CONTACT_MILLIS);
+    }
+
     /** Dispatchers on both sides of a cut each sent what the target takes in all. */
     @ParameterizedTest
     @CsvSource({"2, 1", "5, 2", "11, 5", "11, 1"})
