Keep the request limit of a target when suspects run together

Items with a part that is held back are granted places at a reserved target without the choice of a target, which checks the limit that the target names; the cold rate was checked there, the limit was not.

ReservedTargetTest.keepsTheRequestLimitOfATarget on the code before: 8 requests at once where the limit admits one in 4.2 s ("<8L> was greater than <3L>"). With the change it passes, with SuspectsTest, HeldItemsLoadTest, DispatcherLimitTest, DispatcherTest and IsolatedRunsTest.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/dispatch/TargetPlaces.java
@@ -237,11 +237,12 @@
                 && (now - coldUntil >= 0 || cold.refill(cold.limit().burst(), now) >= 1);
     }
 
-    /** Returns how many requests may be sent now at the rate of a cold target. */
+    /** Returns how many requests its request limit and, while it is cold, its cold rate admit now. */
     int admitted(long now) {
+        int allowed = requestLimit.allowed(now);
         return atFullRate(now)
-                ? Integer.MAX_VALUE
-                : (int) cold.refill(cold.limit().burst(), now);
+                ? allowed
+                : Math.min(allowed, (int) cold.refill(cold.limit().burst(), now));
     }
 
     /** Returns whether the target accepts requests at any rate, because it is warm or its service has no cold rate. */
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/ReservedTargetTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/dispatch/ReservedTargetTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.LongStream;
@@ -101,6 +102,30 @@
         assertThat(granted, is(both(greaterThan(0L)).and(lessThanOrEqualTo(6L))));
     }
 
+    /** Items that ran together exceeded the limit that their target names: here one request at a time, in 4.2 s. */
+    @Test
+    void keepsTheRequestLimitOfATarget() {
+        start(target("a", 8, 0), target("b", 8, 0), target("c", 8, 0));
+        holdBack();
+        confirm();
+        for (TargetEntry entry : targets) {
+            dispatcher.limits().report(new LimitReport(entry.id(), 0, OptionalDouble.of(0), now), now);
+        }
+        long[] permits = LongStream.range(11, 19).toArray();
+        Arrays.stream(permits).forEach(this::ask);
+        for (int tick = 0; tick < 12_000 / TICK_MILLIS; tick++) {
+            advance(TICK_MILLIS);
+            dispatcher.tick(now);
+            if (tick % 40 == 0) {
+                Arrays.stream(permits).forEach(this::ask);
+            }
+        }
+        long granted = Arrays.stream(permits)
+                .filter(permit -> decisions.get(permit) instanceof PlacementDecision.Granted)
+                .count();
+        assertThat(granted, is(both(greaterThan(0L)).and(lessThanOrEqualTo(3L))));
+    }
+
     /** Lets two items crash a target each. */
     private void confirm() {
         for (long permit = 1; permit <= 2; permit++) {
