Look for jobs that are not run once in each tick

The log of such jobs decided again for each job what the take-over had just decided, and a second time for those already noted, which ranks the serving instances for each job without an owner. Found by reading the whole change; no log line changes.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -11,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.tanagermoor.gateway.GatewayEvent;
 import org.tanagermoor.gateway.edge.CallHead;
 import org.tanagermoor.gateway.edge.CallerRequest;
@@ -144,13 +146,12 @@
         if (liveness.stopping()) {
             return;
         }
-        for (JobView view : List.copyOf(jobs.values())) {
-            JobRecord record = view.record();
-            if (runIsMissing(record, now)) {
-                takeOver(record);
-            }
-        }
-        recordNotRun(now);
+        List<JobRecord> missing = jobs.values().stream()
+                .map(JobView::record)
+                .filter(record -> runIsMissing(record, now))
+                .toList();
+        missing.forEach(this::takeOver);
+        recordNotRun(missing, now);
         forEachRun(JobRun::askForPlaces);
         retention.tick(
                 List.copyOf(jobs.values()),
@@ -164,19 +165,20 @@
         return record.open() && !runs.containsKey(record.row().getId()) && shouldTakeOver(record, now);
     }
 
-    /** Logs once for each time that a job which should run here has for long not done so. */
-    private void recordNotRun(long now) {
-        notRunSince.keySet().removeIf(id -> {
-            JobView view = jobs.get(id);
-            return view == null || !runIsMissing(view.record(), now);
-        });
+    /**
+     * Logs once for each time that a job which should run here has for long not done so.
+     *
+     * @param missing The jobs that should run here and do not.
+     * @param now The current monotonic time in nanoseconds.
+     */
+    private void recordNotRun(Collection<JobRecord> missing, long now) {
+        notRunSince
+                .keySet()
+                .retainAll(missing.stream().map(record -> record.row().getId()).collect(Collectors.toSet()));
         notRunRecorded.retainAll(notRunSince.keySet());
-        for (JobView view : jobs.values()) {
-            JobRecord record = view.record();
+        for (JobRecord record : missing) {
             String id = record.row().getId();
-            if (runIsMissing(record, now)
-                    && now - notRunSince.computeIfAbsent(id, key -> now) >= NOT_RUN_NANOS
-                    && notRunRecorded.add(id)) {
+            if (now - notRunSince.computeIfAbsent(id, key -> now) >= NOT_RUN_NANOS && notRunRecorded.add(id)) {
                 context.events()
                         .record(
                                 GatewayEvent.JOB_NOT_RUN,
