--- a/review/stand-2/Fleet.java
+++ b/review/stand-2/Fleet.java
@@ -23,6 +23,12 @@
 
     /** Adds instances that are not started, in zones a, b, c in turn. */
     void addInstances(int count, int storePort) throws IOException {
+        addInstances(java.util.Collections.nCopies(count, storePort));
+    }
+
+    /** Adds instances that are not started and reach the store at the given ports, in zones a, b, c in turn. */
+    void addInstances(List<Integer> storePorts) throws IOException {
+        int count = storePorts.size();
         List<int[]> ports = new ArrayList<>();
         List<Integer> seeds = new ArrayList<>();
         for (int index = 0; index < count; index++) {
@@ -34,7 +40,7 @@
         }
         for (int index = 0; index < count; index++) {
             String zone = "zone-" + (char) ('a' + index % 3);
-            instances.add(new Instance(root, folder, "edge-" + (index + 1), zone, ports.get(index), storePort, seeds));
+            instances.add(new Instance(root, folder, "edge-" + (index + 1), zone, ports.get(index), storePorts.get(index), seeds));
         }
     }
 
@@ -58,9 +64,20 @@
         return true;
     }
 
+    private void deleteFolder() {
+        try (java.util.stream.Stream<Path> files = Files.walk(folder)) {
+            if (System.getenv("KEEP") == null) {
+                files.sorted(java.util.Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+            }
+        } catch (IOException exception) {
+            journal.say("the temporary folder stays: " + exception);
+        }
+    }
+
     @Override
     public void close() {
         instances.forEach(Instance::close);
+        deleteFolder();
         servers.forEach(ModelServer::close);
         store.close();
         journal.close();
--- a/review/stand-2/Http.java
+++ b/review/stand-2/Http.java
@@ -20,6 +20,9 @@
 /** A small HTTP/1.1 listener and client on loopback addresses, with access to the sockets. */
 final class Http {
 
+    /** Names the port of the listener at which a request came, among its headers. */
+    static final String LISTENER = "x-listener";
+
     private Http() {}
 
     /** A request or an answer. The first line is kept as it came. */
@@ -246,6 +249,7 @@
                     }
                     Map<String, String> headers = headers(head);
                     byte[] body = readBody(connection.in, headers, false);
+                    headers.put(LISTENER, Integer.toString(port));
                     keep = handler.handle(new Message(head.get(0), headers, body), connection);
                 }
             } catch (Exception exception) {
--- a/review/stand-2/Proxy.java
+++ b/review/stand-2/Proxy.java
@@ -21,6 +21,9 @@
     /** Whether new connections are reset. */
     volatile boolean refuse;
 
+    /** Connections that were opened before this time carry no bytes any more, in nanoseconds. */
+    private volatile long silentBefore = Long.MIN_VALUE;
+
     /** The delay of answers in milliseconds. */
     volatile long answerDelayMillis;
 
@@ -60,14 +63,24 @@
             other.setTcpNoDelay(true);
             sockets.add(socket);
             sockets.add(other);
-            Thread.startVirtualThread(() -> copy(socket, other, false));
-            copy(other, socket, true);
+            long openedAt = System.nanoTime();
+            Thread.startVirtualThread(() -> copy(socket, other, false, openedAt));
+            copy(other, socket, true, openedAt);
         } catch (IOException exception) {
             reset(socket);
         }
     }
 
-    private void copy(Socket from, Socket to, boolean answers) {
+    /** Silences all open connections for good, without a reset; new ones work. */
+    void silenceOpen() {
+        silentBefore = System.nanoTime();
+    }
+
+    private boolean held(long openedAt) {
+        return silent || openedAt - silentBefore < 0 && silentBefore != Long.MIN_VALUE;
+    }
+
+    private void copy(Socket from, Socket to, boolean answers, long openedAt) {
         byte[] buffer = new byte[65_536];
         try {
             InputStream in = from.getInputStream();
@@ -76,13 +89,13 @@
                 if (answers && answerDelayMillis > 0) {
                     ModelServer.pause(answerDelayMillis);
                 }
-                while (silent) {
+                while (held(openedAt)) {
                     ModelServer.pause(10);
                 }
                 out.write(buffer, 0, count);
                 out.flush();
             }
-            while (silent) {
+            while (held(openedAt)) {
                 ModelServer.pause(10);
             }
             to.shutdownOutput();
--- a/review/stand-2/Store.java
+++ b/review/stand-2/Store.java
@@ -26,9 +26,17 @@
     /** By table, part and key. Guarded by this. */
     private final TreeMap<String, ObjectNode> rows = new TreeMap<>();
 
-    /** The changes in the order of their versions. Guarded by this. */
+    /** How long changes are kept. */
+    private static final long RETENTION_NANOS = 20_000_000_000L;
+
+    /** The changes in the order of their versions, and their times. Guarded by this. */
     private final List<ObjectNode> history = new ArrayList<>();
 
+    private final List<Long> historyTimes = new ArrayList<>();
+
+    /** The version up to which changes are no longer kept. Guarded by this. */
+    private long historyStart;
+
     private final Map<String, byte[]> blobs = new TreeMap<>();
 
     private long version = 10;
@@ -36,7 +44,13 @@
     /** What happens to a call beside its execution. */
     interface Fault {
 
-        /** Called before a call is executed. Returns a status to answer with instead; 0 to execute it. */
+        /** Stands for a call that is executed later and not answered. */
+        int LATE = -1;
+
+        /**
+         * Called before a call is executed. Returns a status to answer with instead; 0 to execute it; {@link #LATE} to
+         * execute it some seconds later without an answer.
+         */
         default int before(Http.Message request) throws Exception {
             return 0;
         }
@@ -53,6 +67,7 @@
     volatile Consumer<JsonNode> applied = transaction -> {};
 
     private final Http.Listener listener;
+    private final List<Http.Listener> others = new ArrayList<>();
 
     Store() throws IOException {
         listener = new Http.Listener(0, this::handle);
@@ -62,6 +77,13 @@
         return listener.port;
     }
 
+    /** Opens another port, so that the calls of one instance can be told from those of others. */
+    int addPort() throws IOException {
+        Http.Listener added = new Http.Listener(0, this::handle);
+        others.add(added);
+        return added.port;
+    }
+
     /** Writes a row as the operator or a server does; returns its version. */
     synchronized long write(String table, String key, String json) {
         ObjectNode row = JSON.createObjectNode();
@@ -99,6 +121,7 @@
     @Override
     public void close() {
         listener.close();
+        others.forEach(Http.Listener::close);
     }
 
     /** Resets all connections. */
@@ -108,6 +131,10 @@
 
     private boolean handle(Http.Message request, Http.Connection connection) throws Exception {
         int refused = fault.before(request);
+        if (refused == Fault.LATE) {
+            Thread.startVirtualThread(() -> executeLate(request));
+            return false;
+        }
         if (refused != 0) {
             connection.answer(refused, Map.of(), new byte[0]);
             return true;
@@ -144,7 +171,7 @@
                     case "/v1/rows-tx" -> status = transact(JSON.readTree(request.body()), request.body().length, answer);
                     case "/v1/rows-get" -> get(request, answer);
                     case "/v1/rows-parts" -> parts(request, answer);
-                    case "/v1/rows-feed" -> feed(request, answer);
+                    case "/v1/rows-feed" -> status = feed(request, answer);
                     default -> status = 404;
                 }
                 answer.put("api_version", version).put("now_ms", System.nanoTime() / 1_000_000);
@@ -160,6 +187,25 @@
         return true;
     }
 
+    private void executeLate(Http.Message request) {
+        ModelServer.pause(1_000 + (long) (Math.random() * 5_000));
+        synchronized (this) {
+            try {
+                String path = request.path();
+                String name = path.substring(path.lastIndexOf('/') + 1);
+                if (path.equals("/v1/rows-tx")) {
+                    transact(JSON.readTree(request.body()), request.body().length, JSON.createObjectNode());
+                } else if (request.method().equals("PUT")) {
+                    blobs.putIfAbsent(name, request.body());
+                } else if (request.method().equals("DELETE")) {
+                    blobs.remove(name);
+                }
+            } catch (IOException exception) {
+                throw new java.io.UncheckedIOException(exception);
+            }
+        }
+    }
+
     private int putBlob(String name, byte[] body) {
         blobs.put(name, body);
         return 200;
@@ -242,11 +288,14 @@
                 .forEach(parts::add);
     }
 
-    private void feed(Http.Message request, ObjectNode answer) throws InterruptedException {
+    private int feed(Http.Message request, ObjectNode answer) throws InterruptedException {
         long after = Long.parseLong(request.query("after"));
         long end = System.nanoTime() + Long.parseLong(request.query("wait_ms")) * 1_000_000;
         ArrayNode changes = answer.putArray("rows");
         while (true) {
+            if (after < historyStart) {
+                return 410;
+            }
             for (int index = firstAfter(after); index < history.size(); index++) {
                 if (history.get(index).path("table_name").asText().equals(request.query("table_name"))) {
                     changes.add(history.get(index));
@@ -254,7 +303,7 @@
             }
             long left = (end - System.nanoTime()) / 1_000_000;
             if (!changes.isEmpty() || left <= 0) {
-                return;
+                return 200;
             }
             wait(left);
         }
@@ -271,13 +320,28 @@
     private void put(ObjectNode row, long newVersion) {
         row.put("api_version", newVersion);
         rows.put(id(row), row);
-        history.add(row);
+        remember(row);
     }
 
     private void drop(ObjectNode row, long newVersion) {
         row.put("api_version", newVersion).put("tombstone", true);
         rows.remove(id(row));
+        remember(row);
+    }
+
+    private void remember(ObjectNode row) {
+        long now = System.nanoTime();
         history.add(row);
+        historyTimes.add(now);
+        int old = 0;
+        while (now - historyTimes.get(old) > RETENTION_NANOS) {
+            old++;
+        }
+        if (old > 100) {
+            historyStart = history.get(old - 1).path("api_version").asLong();
+            history.subList(0, old).clear();
+            historyTimes.subList(0, old).clear();
+        }
     }
 
     private static String id(JsonNode row) {
