Review case 7: items of a job whose route was removed are never listed after a restart

The time to give an item up comes from the route as the former owner last saw it; the next owner knows none.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A machine is stopped as planned while a server pauses in the streams. TROUBLE=0: it is not stopped.
+# The route of a job is removed, then its machine is stopped as planned. TROUBLE=0: the machine is not stopped.
 set -u
 cd "$(dirname "$0")/../.."
 [ -f target/review-2/Case7.class ] || { echo "run review/build-2.sh first" >&2; exit 2; }
