--- a/review/stand-2/Instance.java
+++ b/review/stand-2/Instance.java
@@ -3,9 +3,9 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** An instance of the project, started by the command of its deploy file with rendered settings. */
@@ -68,17 +68,17 @@
         Files.writeString(settings, text);
     }
 
-    /** Returns free ports. */
-    static int[] freePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
+    /** Returns free ports outside of the range from which systems draw the ports of clients. */
+    static int[] freePorts(int count) {
         int[] ports = new int[count];
-        for (int index = 0; index < count; index++) {
-            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-            sockets.add(socket);
-            ports[index] = socket.getLocalPort();
-        }
-        for (ServerSocket socket : sockets) {
-            socket.close();
+        for (int found = 0; found < count; ) {
+            int port = ThreadLocalRandom.current().nextInt(15_000, 32_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                ports[found] = socket.getLocalPort();
+                found++;
+            } catch (IOException exception) {
+                // Another process has the port.
+            }
         }
         return ports;
     }
