List the items of jobs whose route was removed, whoever owns them

Cause: what decides when accepted work ends was known to one process alone. The limits of the route were in the memory of an owner that had seen it; the row of the job had none. An owner without them returned before it compared the time with anything. Beside it, the age of a job was the difference of the wall clocks of two instances, without a margin.

Change: the row of a job has the limit of its route, the version of the configuration by which it was accepted or last taken over, and the time of the acceptance by the steady clock of the store, by which its age is measured. An owner gives items up when the route has been gone for 10 s, or when the time for the job is over. It does so only by a configuration that is not older than that of the row, and that the store has confirmed since the route was found gone; otherwise the items wait. A run at a target goes on. Rows of earlier programs lack the fields and are given up after the 10 s.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/Gateway.java
@@ -255,7 +255,9 @@
                 ItemPace.of(),
                 context.service(CallerProtocol.class)::answerBytes,
                 duties,
-                context.settings().value(GatewayPlugin.JOB_RETENTION));
+                context.settings().value(GatewayPlugin.JOB_RETENTION),
+                operatorTable.storeClock(),
+                operatorTable::readAt);
     }
 
     /** Describes this instance by its settings. */
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/follow/ChangeFeed.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/follow/ChangeFeed.java
@@ -37,16 +37,30 @@
          *
          * @param rows The rows.
          * @param revision The revision after which changes are to be read.
+         * @param storeMillis The time of the store's steady clock in milliseconds; 0 if it is not known.
          */
-        record Snapshot(List<Change> rows, long revision) implements Answer {}
+        record Snapshot(List<Change> rows, long revision, long storeMillis) implements Answer {
+
+            /** Creates an answer that does not state the time of the store. */
+            public Snapshot(List<Change> rows, long revision) {
+                this(rows, revision, 0);
+            }
+        }
 
         /**
          * Changes in the order in which they were made.
          *
          * @param rows The changes.
          * @param revision The revision after which the next changes are to be read.
+         * @param storeMillis The time of the store's steady clock in milliseconds; 0 if it is not known.
          */
-        record Changes(List<Change> rows, long revision) implements Answer {}
+        record Changes(List<Change> rows, long revision, long storeMillis) implements Answer {
+
+            /** Creates an answer that does not state the time of the store. */
+            public Changes(List<Change> rows, long revision) {
+                this(rows, revision, 0);
+            }
+        }
 
         /** The changes since the revision are no longer available, or too many; the complete table must be read. */
         record HistoryLost() implements Answer {}
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/follow/TableFollower.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/follow/TableFollower.java
@@ -83,6 +83,14 @@
     /** The monotonic time in nanoseconds of the last successful answer. */
     private long answeredAt;
 
+    /** The monotonic time in nanoseconds at which the last call was made. */
+    private long calledAt;
+
+    /** The monotonic time in nanoseconds up to which all changes are known. */
+    private long readAt;
+
+    private final StoreClock storeClock = StoreClock.of();
+
     private boolean stopped;
 
     private TableFollower(
@@ -104,6 +112,8 @@
         this.listener = listener;
         recoveredAt = time.nanos();
         answeredAt = recoveredAt;
+        calledAt = recoveredAt;
+        readAt = recoveredAt;
         dataReceivedAt = recoveredAt;
     }
 
@@ -165,6 +175,19 @@
         return answeredAt;
     }
 
+    /**
+     * Returns the monotonic time in nanoseconds up to which all changes of the table are known: that of the last call
+     * that was answered.
+     */
+    public long readAt() {
+        return readAt;
+    }
+
+    /** Returns the clock of the store, as its answers state it. */
+    public StoreClock storeClock() {
+        return storeClock;
+    }
+
     /** Replaces the local copy by that of a peer, if that one is newer. */
     public void adopt(List<ChangeFeed.Change> rows, long revision, String peer) {
         if (revision <= table.revision()) {
@@ -196,6 +219,7 @@
     }
 
     private void read(Supplier<Mono<Either<Failure, ChangeFeed.Answer>>> answer) {
+        calledAt = time.nanos();
         duties.call(duty(), answer, this::handleAnswer, INITIAL_RETRY_MILLIS, this::call);
     }
 
@@ -214,8 +238,14 @@
             events.record(GatewayEvent.STORE_REGAINED, "table", table.name(), "revision", table.revision());
         }
         switch (result.get()) {
-            case ChangeFeed.Answer.Snapshot copy -> deliver(table.replace(copy.rows(), copy.revision()));
-            case ChangeFeed.Answer.Changes changes -> changed(changes);
+            case ChangeFeed.Answer.Snapshot copy -> {
+                received(copy.storeMillis(), now);
+                deliver(table.replace(copy.rows(), copy.revision()));
+            }
+            case ChangeFeed.Answer.Changes changes -> {
+                received(changes.storeMillis(), now);
+                changed(changes);
+            }
             case ChangeFeed.Answer.HistoryLost lost -> {
                 events.record(GatewayEvent.HISTORY_LOST, "table", table.name(), "revision", table.revision());
                 reread();
@@ -236,6 +266,12 @@
         dataReceivedAt = now;
     }
 
+    /** Records the times of an answer, which holds all changes that were made before its call. */
+    private void received(long storeMillis, long now) {
+        readAt = calledAt;
+        storeClock.observe(storeMillis, now);
+    }
+
     /** Applies changes to the copy, and passes on those that were not known. */
     private void changed(ChangeFeed.Answer.Changes changes) {
         List<ChangeFeed.Change> changed = table.apply(changes.rows(), changes.revision());
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -80,7 +80,7 @@
     /** Identities of the targets that must not be chosen for the next run. */
     private final Set<String> excluded = new HashSet<>();
 
-    private State state = State.IDLE;
+    private ItemState state = ItemState.IDLE;
 
     /** Delay before the item runs again after its output has been too long, in milliseconds. */
     private long tooLongPauseMillis = RETRY_DELAY_MILLIS;
@@ -153,7 +153,7 @@
     /** {@inheritDoc} */
     @Override
     public boolean idle() {
-        return state == State.IDLE;
+        return state == ItemState.IDLE;
     }
 
     /** {@inheritDoc} */
@@ -165,7 +165,7 @@
     /** {@inheritDoc} */
     @Override
     public boolean asking() {
-        return state == State.ASKING;
+        return state == ItemState.ASKING;
     }
 
     /** {@inheritDoc} */
@@ -174,9 +174,14 @@
         return hold.heldBack();
     }
 
+    /** Returns whether the item runs at a target. */
+    boolean running() {
+        return state == ItemState.RUNNING;
+    }
+
     /** Returns whether the item has progress that is not recorded. */
     boolean unrecorded() {
-        return state != State.DONE && (lastEvent != recordedEvent || failures != recordedFailures);
+        return state != ItemState.DONE && (lastEvent != recordedEvent || failures != recordedFailures);
     }
 
     /** Returns the progress of the item, if it is not recorded and fits into a row. */
@@ -201,7 +206,7 @@
 
     /** Ends the current run if its target has been silent for too long; the item resumes at another target. */
     void check(long now) {
-        if (state == State.RUNNING && now - lastReceivedAt > MAX_SILENCE_NANOS) {
+        if (state == ItemState.RUNNING && now - lastReceivedAt > MAX_SILENCE_NANOS) {
             failExchange("no event came for " + TimeUnit.NANOSECONDS.toMillis(now - lastReceivedAt) + " ms");
         }
         log.recordWait(state.name(), excluded, lastEvent, now);
@@ -223,7 +228,7 @@
         if (hold.heldBack()) {
             excluded.clear();
         }
-        state = State.ASKING;
+        state = ItemState.ASKING;
         log.enter(ItemLog.Phase.WAITING, context.time().nanos());
         permit = context.dispatch().nextPermit();
         long askedPermit = permit;
@@ -236,7 +241,7 @@
                         new Ask(
                                         context.dispatch().self(),
                                         permit,
-                                        route.service(0),
+                                        JobTerms.itemService(route),
                                         "",
                                         context.domain(),
                                         0,
@@ -254,16 +259,16 @@
     /** Ends the current run; the item does not run again on this instance. */
     void stop() {
         endRun(ItemLog.RunEnd.STOPPED, "the item is no longer wanted here");
-        state = State.DONE;
+        state = ItemState.DONE;
         stopExchange();
         returnPermit(PlaceOutcome.UNUSED);
     }
 
     /** Ends the current run and starts no other while the job is handed over; the received output is kept. */
     void suspend() {
-        if (state != State.DONE) {
+        if (state != ItemState.DONE) {
             endRun(ItemLog.RunEnd.SUSPENDED, "the job is handed over");
-            state = State.SUSPENDED;
+            state = ItemState.SUSPENDED;
             stopExchange();
             returnPermit(PlaceOutcome.UNUSED);
         }
@@ -271,7 +276,7 @@
 
     /** Ends the current run, because an online request needs its place; the received output is kept. */
     void recall() {
-        if (state == State.RUNNING) {
+        if (state == ItemState.RUNNING) {
             endRun(ItemLog.RunEnd.RECALLED, "the place is needed by an online request");
             stopExchange();
             retry(PlaceOutcome.UNUSED, 0);
@@ -280,7 +285,7 @@
 
     /** Handles the decision of the dispatcher, unless the item no longer waits for this permit. */
     private void onDecision(long askedPermit, PlacementDecision decision) {
-        if (state != State.ASKING || permit != askedPermit) {
+        if (state != ItemState.ASKING || permit != askedPermit) {
             return;
         }
         switch (decision) {
@@ -308,7 +313,7 @@
             retry(PlaceOutcome.UNUSED, RETRY_DELAY_MILLIS);
             return;
         }
-        state = State.RUNNING;
+        state = ItemState.RUNNING;
         hold.runStarted();
         startedAt = context.time().nanos();
         startEvent = lastEvent;
@@ -380,7 +385,7 @@
     /** {@inheritDoc} */
     @Override
     public void body(ByteBuf content) {
-        if (state != State.RUNNING || !accepted) {
+        if (state != ItemState.RUNNING || !accepted) {
             return;
         }
         for (EventFrames.Event event : frames.add(content)) {
@@ -407,7 +412,7 @@
     /** {@inheritDoc} */
     @Override
     public void end(Delivery delivery) {
-        if (state != State.RUNNING || !accepted) {
+        if (state != ItemState.RUNNING || !accepted) {
             return;
         }
         exchange = null;
@@ -429,7 +434,7 @@
     /** {@inheritDoc} */
     @Override
     public void failed(Failure failure) {
-        if (state != State.RUNNING) {
+        if (state != ItemState.RUNNING) {
             return;
         }
         exchange = null;
@@ -454,7 +459,7 @@
     }
 
     private void abandon(String reason, PlaceOutcome outcome) {
-        if (state == State.DONE) {
+        if (state == ItemState.DONE) {
             return;
         }
         context.events()
@@ -467,7 +472,7 @@
     private void finish(JobResult result, PlaceOutcome outcome) {
         endRun(ItemLog.RunEnd.DONE, "");
         log.recordEnd(result.completed(), context.time().nanos());
-        state = State.DONE;
+        state = ItemState.DONE;
         returnPermit(outcome);
         job.finished(result);
     }
@@ -484,13 +489,13 @@
 
     /** Makes the item idle after a pause in milliseconds. */
     private void pause(long millis) {
-        state = State.PAUSED;
+        state = ItemState.PAUSED;
         log.enter(ItemLog.Phase.IDLE, context.time().nanos());
         context.loop()
                 .schedule(
                         () -> {
-                            if (state == State.PAUSED) {
-                                state = State.IDLE;
+                            if (state == ItemState.PAUSED) {
+                                state = ItemState.IDLE;
                                 job.askForPlaces();
                             }
                         },
@@ -555,7 +560,7 @@
     /** Records the end of the current run, if there is one. */
     private void endRun(ItemLog.RunEnd end, String detail) {
         long now = context.time().nanos();
-        if (state == State.RUNNING) {
+        if (state == ItemState.RUNNING) {
             context.pace().recordRun(lastEvent - startEvent, now - startedAt);
         }
         log.recordRunEnd(end, detail, targetId(), lastEvent, recordedEvent, now);
@@ -565,26 +570,4 @@
     private String targetId() {
         return target == null ? "" : target.id();
     }
-
-    /** The states of an item on this instance. */
-    private enum State {
-
-        /** The item can ask for a place. */
-        IDLE,
-
-        /** The item waits for a place. */
-        ASKING,
-
-        /** The item runs at a target. */
-        RUNNING,
-
-        /** The item waits before it becomes idle again. */
-        PAUSED,
-
-        /** The item waits until the job is handed over. */
-        SUSPENDED,
-
-        /** The item has a result, or is no longer needed on this instance. */
-        DONE
-    }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobContext.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobContext.java
@@ -3,11 +3,13 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import java.util.function.ToIntFunction;
 import org.tanagermoor.gateway.FleetState;
 import org.tanagermoor.gateway.GatewayMetrics;
 import org.tanagermoor.gateway.dispatch.DispatchClient;
 import org.tanagermoor.gateway.duty.Duties;
+import org.tanagermoor.gateway.follow.StoreClock;
 import org.tanagermoor.gateway.forward.TargetConnections;
 import org.tanagermoor.gateway.quarantine.PartQuarantine;
 import org.tanagermoor.kernel.event.EventLog;
@@ -31,6 +33,9 @@
  * @param answerBytes Tells how many bytes an output takes in an answer to a reader.
  * @param duties Runs the steps of jobs so that an error does not end their repetition.
  * @param retention The time after its acceptance during which an ended job can be read.
+ * @param storeClock The clock of the store, by which the age of jobs is measured.
+ * @param configurationReadAt Tells the monotonic time in nanoseconds up to which all changes of the configuration are
+ *     known.
  */
 public record JobContext(
         EventLoop loop,
@@ -47,7 +52,9 @@
         ItemPace pace,
         ToIntFunction<String> answerBytes,
         Duties duties,
-        Duration retention) {
+        Duration retention,
+        StoreClock storeClock,
+        LongSupplier configurationReadAt) {
 
     /**
      * Maximum number of bytes of the outputs in one answer to a reader: answers hold 1 MB, with a margin for what
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRetention.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRetention.java
@@ -16,11 +16,6 @@
  */
 final class JobRetention {
 
-    /**
-     * Maximum difference between the clocks of two instances, in milliseconds: twice the bound that the users specify.
-     */
-    private static final long MAX_CLOCK_SKEW_MILLIS = 10_000;
-
     /**
      * Maximum number of jobs deleted at the same time: each deletion takes several calls of the store, which share
      * their rate limit with the calls made for callers.
@@ -82,7 +77,7 @@
     /** Returns whether a job has ended and its retention has passed, even if the clocks of instances differ. */
     private boolean expired(JobRecord job, long nowMillis) {
         long age = nowMillis - job.row().getAcceptedMillis();
-        return !job.open() && age > context.retention().toMillis() + MAX_CLOCK_SKEW_MILLIS;
+        return !job.open() && age > context.retention().toMillis() + JobAge.MAX_CLOCK_SKEW_MILLIS;
     }
 
     private void delete(JobRecord job) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
@@ -5,14 +5,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.tanagermoor.gateway.GatewayEvent;
-import org.tanagermoor.gateway.fleet.FleetConfiguration;
 import org.tanagermoor.gateway.fleet.Route;
-import org.tanagermoor.gateway.fleet.RouteKind;
 import org.tanagermoor.gateway.proto.ItemProgress;
 import org.tanagermoor.gateway.proto.JobContent;
 import org.tanagermoor.gateway.proto.JobItem;
@@ -44,12 +41,6 @@
      */
     private static final long PROGRESS_INTERVAL_MILLIS = 1_500;
 
-    /** Time after which it is logged that a job cannot be run, in nanoseconds. */
-    private static final long DELAY_NANOS = TimeUnit.SECONDS.toNanos(2);
-
-    /** Minimum time between two records of items that wait without asking, in nanoseconds. */
-    private static final long UNASKED_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
-
     private final JobContext context;
 
     /** Receives the job after each change of its row. */
@@ -103,27 +94,30 @@
     /** Monotonic time at which this instance became the owner, in nanoseconds. */
     private final long startedAt;
 
-    /** Route of the job when it was last there; its limits hold until it returns. */
-    private Optional<Route> lastRoute = Optional.empty();
+    private final JobTerms terms;
 
-    /** Monotonic time in nanoseconds at which the job could last be run: its items were loaded and its route there. */
-    private long runnableAt;
+    private final JobDelayLog delays;
 
-    /** Whether it has been logged since then that it cannot. */
-    private boolean delayRecorded;
+    /** Why the items must not run, as of the last decision; empty if they may. */
+    private String waitReason = "";
 
-    /** Monotonic time in nanoseconds at which the wait of an item that did not ask was last logged. */
-    private long unaskedRecordedAt;
-
-    JobRun(JobContext context, JobRecord job, Consumer<JobRecord> changeListener) {
+    /**
+     * Creates the run of a job whose items are not loaded.
+     *
+     * @param context The dependencies of jobs.
+     * @param job The job as it was last recorded.
+     * @param knownSince The monotonic time in nanoseconds since which this instance knows the job.
+     * @param changeListener Receives the job after each change of its row.
+     */
+    JobRun(JobContext context, JobRecord job, long knownSince, Consumer<JobRecord> changeListener) {
         this.context = context;
         this.job = job;
         missed = job;
         this.changeListener = changeListener;
         startedAt = context.time().nanos();
         progressWrittenAt = startedAt;
-        unaskedRecordedAt = startedAt;
-        runnableAt = startedAt;
+        terms = JobTerms.of(context, knownSince);
+        delays = new JobDelayLog(context, startedAt);
         readFailures = new StepFailures(context, id(), "resume");
         writeFailures = new StepFailures(context, id(), "record");
     }
@@ -141,22 +135,14 @@
         return job.row().getTeam();
     }
 
-    /** Returns the number of failures after which an item is abandoned; 1 if the route no longer exists. */
+    /** Returns the number of failures after which an item is abandoned. */
     int attempts() {
-        return route().map(Route::attempts).orElse(1);
+        return terms.attempts(job.row());
     }
 
-    /**
-     * Returns the time until the job is due, in milliseconds; negative if it is late, 0 if its route no longer exists.
-     */
+    /** Returns the time until the job is due, in milliseconds; negative if it is late, 0 if its route is not known. */
     long dueMillis() {
-        return route().map(route -> dueMillis(route, context.time().wallMillis()))
-                .orElse(0L);
-    }
-
-    /** Returns the time until the job is due at a wall-clock time, both in milliseconds. */
-    private long dueMillis(Route route, long nowMillis) {
-        return job.row().getAcceptedMillis() + route.batch().completionMillis() - nowMillis;
+        return terms.dueMillis(job.row(), context.time().wallMillis());
     }
 
     /** Starts a job that was just accepted, whose items are known. */
@@ -270,7 +256,7 @@
             return;
         }
         List.copyOf(items.values()).forEach(item -> item.check(now));
-        recordDelay(now);
+        delays.check(job, loaded ? waitReason : "its items have not been read", now);
         boolean due = now - progressWrittenAt >= TimeUnit.MILLISECONDS.toNanos(PROGRESS_INTERVAL_MILLIS);
         if (due && loaded && !writing && items.values().stream().anyMatch(ItemRun::unrecorded)) {
             writing = true;
@@ -278,43 +264,15 @@
         }
     }
 
-    /** Logs once that for long the items have not been read, or the route has been gone. */
-    private void recordDelay(long now) {
-        if (loaded && route().isPresent()) {
-            runnableAt = now;
-            delayRecorded = false;
-        } else if (!delayRecorded && now - runnableAt >= DELAY_NANOS) {
-            delayRecorded = true;
-            context.events()
-                    .record(
-                            GatewayEvent.JOB_NOT_RUN,
-                            "job",
-                            id(),
-                            "team",
-                            team(),
-                            "owner",
-                            job.row().getOwner(),
-                            "reason",
-                            loaded ? "its route is gone" : "its items have not been read",
-                            "version",
-                            job.version());
-        }
-    }
-
-    /**
-     * Returns whether the wait of an item that did not even ask may be logged now. There may be thousands of such
-     * items, which wait for the same reason.
-     */
+    /** Returns whether the wait of an item that did not even ask may be logged now. */
     boolean mayRecordUnasked(long now) {
-        boolean may = now - unaskedRecordedAt >= UNASKED_INTERVAL_NANOS;
-        unaskedRecordedAt = may ? now : unaskedRecordedAt;
-        return may;
+        return delays.mayRecordUnasked(now);
     }
 
     /**
-     * Asks for places for items that can run. Abandons all items if the time for the job is over. An item that ends in
-     * the course of it does not call this again, but lets it run once more: the depth of the calls must not grow with
-     * the number of items.
+     * Asks for places for items that can run, and abandons those whose time is over or whose route was removed. An item
+     * that ends in the course of it does not call this again, but lets it run once more: the depth of the calls must
+     * not grow with the number of items.
      */
     void askForPlaces() {
         askAgain = true;
@@ -336,25 +294,34 @@
         if (stopped || !loaded || handingOver) {
             return;
         }
-        Optional<Route> route = route();
-        lastRoute = route.or(() -> lastRoute);
-        long nowMillis = context.time().wallMillis();
-        if (lastRoute.isPresent()
-                && nowMillis - job.row().getAcceptedMillis()
-                        > lastRoute.get().batch().abandonMillis()) {
-            List.copyOf(items.values()).forEach(item -> item.abandon("the time for the job is over"));
-            return;
-        }
-        if (route.isEmpty()) {
-            return;
+        JobExpiry.Decision decision =
+                terms.decide(job.row(), context.time().nanos(), context.time().wallMillis());
+        waitReason = decision instanceof JobExpiry.Decision.Wait wait ? wait.reason() : "";
+        switch (decision) {
+            case JobExpiry.Decision.Run run -> askForPlaces(run.route());
+            case JobExpiry.Decision.Wait wait -> {}
+            case JobExpiry.Decision.AbandonWaiting waiting ->
+                unstarted().forEach(item -> item.abandon(waiting.reason()));
+            case JobExpiry.Decision.AbandonAll all ->
+                List.copyOf(items.values()).forEach(item -> item.abandon(all.reason()));
         }
-        long due = TimeUnit.MILLISECONDS.toNanos(dueMillis(route.get(), nowMillis));
+    }
+
+    /** Returns the items that do not run at a target. */
+    private List<ItemRun> unstarted() {
+        return items.values().stream().filter(item -> !item.running()).toList();
+    }
+
+    /** Asks for places at the service of a route. */
+    private void askForPlaces(Route route) {
+        long due = TimeUnit.MILLISECONDS.toNanos(
+                JobTerms.dueMillis(job.row(), route, context.time().wallMillis()));
         for (ItemRun item : AskOrder.next(items.values())) {
             if (unrecorded.size() >= MAX_UNRECORDED_RESULTS) {
                 return;
             }
             if (item.idle()) {
-                item.ask(route.get(), due);
+                item.ask(route, due);
             }
         }
     }
@@ -410,7 +377,10 @@
                         .mapToLong(result -> tokensByItem.getOrDefault(result.item(), 0L))
                         .sum();
         boolean lastWrite = handingOver && results.size() == unrecorded.size();
-        JobRow after = job.row().toBuilder()
+        JobRow before = results.isEmpty() && !lastWrite
+                ? job.row()
+                : terms.route(job.row()).recordIn(job.row());
+        JobRow after = before.toBuilder()
                 .setRecorded(job.row().getRecorded() + results.size())
                 .setTokensWaiting(Math.max(0, waiting))
                 .setOwner(lastWrite ? "" : job.row().getOwner())
@@ -580,13 +550,4 @@
             scheduleWrite(0);
         }
     }
-
-    /** Returns the batch route of the job, if it still exists. */
-    private Optional<Route> route() {
-        return context.fleet()
-                .configuration()
-                .flatMap((FleetConfiguration known) ->
-                        known.route(host(), job.row().getPath()))
-                .filter(route -> route.kind() == RouteKind.BATCH);
-    }
 }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobView.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobView.java
@@ -33,12 +33,21 @@
 
     private JobRecord record;
 
+    /** Monotonic time in nanoseconds since which this instance knows the job. */
+    private final long knownSince;
+
     /** Whether results are being read from the store. */
     private boolean loading;
 
     JobView(JobContext context, JobRecord record) {
         this.context = context;
         this.record = record;
+        knownSince = context.time().nanos();
+    }
+
+    /** Returns the monotonic time in nanoseconds since which this instance knows the job. */
+    long knownSince() {
+        return knownSince;
     }
 
     JobRecord record() {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
@@ -232,7 +232,7 @@
                     answer);
             return;
         }
-        JobRow row = JobRow.newBuilder()
+        JobRow accepted = JobRow.newBuilder()
                 .setId(head.id())
                 .setTeam(team)
                 .setHost(head.host())
@@ -241,13 +241,21 @@
                 .setTotal(items.size())
                 .setTokensWaiting(tokens)
                 .setOwner(liveness.stopping() ? "" : context.dispatch().self())
+                .setAcceptedStoreMillis(
+                        context.storeClock().millis(context.time().nanos()).orElse(0))
                 .build();
+        JobRow row = new JobRoute.Known(route, configurationVersion()).recordIn(accepted);
         JobContent content = JobContent.newBuilder().addAllItems(items).build();
         context.store()
                 .accept(row, content)
                 .subscribe(result -> context.loop().execute(() -> accepted(head, row, content, result, answer)));
     }
 
+    /** Returns the version of the configuration in use; 0 if there is none. */
+    private long configurationVersion() {
+        return context.fleet().configuration().map(FleetConfiguration::version).orElse(0L);
+    }
+
     /** Answers with results of a job, immediately or as soon as there are some. */
     public void results(CallerRequest.ReadResults request, String team, Consumer<JobAnswer> answer) {
         find(request.job(), team, answer, view -> {
@@ -359,8 +367,11 @@
 
     /** Creates and registers the run of a job on this instance. */
     private JobRun run(JobRecord record) {
-        JobRun run = new JobRun(context, record, this::onRecorded);
-        runs.put(record.row().getId(), run);
+        String id = record.row().getId();
+        JobView view = jobs.get(id);
+        long knownSince = view == null ? context.time().nanos() : view.knownSince();
+        JobRun run = new JobRun(context, record, knownSince, this::onRecorded);
+        runs.put(id, run);
         return run;
     }
 
@@ -408,8 +419,10 @@
         if (!takingOver.add(id)) {
             return;
         }
-        JobRow after =
-                record.row().toBuilder().setOwner(context.dispatch().self()).build();
+        JobRoute route = JobRoute.of(context.fleet().configuration(), record.row());
+        JobRow after = route.recordIn(record.row()).toBuilder()
+                .setOwner(context.dispatch().self())
+                .build();
         context.duties()
                 .call(
                         "take over",
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/Gateway.java
@@ -270,17 +270,19 @@
       "ateway.ItemHeader\022\014\n\004body\030\004 \001(\014\022\016\n\006token" +
       "s\030\005 \001(\004\0220\n\006prompt\030\006 \001(\0132 .tanagermoor.ga" +
       "teway.PromptParts\"9\n\nJobContent\022+\n\005items" +
-      "\030\001 \003(\0132\034.tanagermoor.gateway.JobItem\"\256\001\n" +
+      "\030\001 \003(\0132\034.tanagermoor.gateway.JobItem\"\204\002\n" +
       "\006JobRow\022\n\n\002id\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\014\n\004hos" +
       "t\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022\027\n\017accepted_millis" +
       "\030\005 \001(\004\022\r\n\005total\030\006 \001(\r\022\020\n\010recorded\030\007 \001(\r\022" +
       "\r\n\005ended\030\010 \001(\010\022\026\n\016tokens_waiting\030\t \001(\004\022\r" +
-      "\n\005owner\030\n \001(\t\"L\n\nResultPart\022\014\n\004item\030\001 \001(" +
-      "\t\022\021\n\tcompleted\030\002 \001(\010\022\016\n\006output\030\003 \001(\014\022\r\n\005" +
-      "parts\030\004 \001(\r\"R\n\014ItemProgress\022\014\n\004item\030\001 \001(" +
-      "\t\022\022\n\nlast_event\030\002 \001(\004\022\016\n\006output\030\003 \001(\014\022\020\n" +
-      "\010failures\030\004 \001(\rB!\n\035org.tanagermoor.gatew" +
-      "ay.protoP\001b\006proto3"
+      "\n\005owner\030\n \001(\t\022\035\n\025accepted_store_millis\030\013" +
+      " \001(\004\022\026\n\016abandon_millis\030\014 \001(\004\022\035\n\025configur" +
+      "ation_version\030\r \001(\004\"L\n\nResultPart\022\014\n\004ite" +
+      "m\030\001 \001(\t\022\021\n\tcompleted\030\002 \001(\010\022\016\n\006output\030\003 \001" +
+      "(\014\022\r\n\005parts\030\004 \001(\r\"R\n\014ItemProgress\022\014\n\004ite" +
+      "m\030\001 \001(\t\022\022\n\nlast_event\030\002 \001(\004\022\016\n\006output\030\003 " +
+      "\001(\014\022\020\n\010failures\030\004 \001(\rB!\n\035org.tanagermoor" +
+      ".gateway.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -441,7 +443,7 @@
     internal_static_tanagermoor_gateway_JobRow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tanagermoor_gateway_JobRow_descriptor,
-        new java.lang.String[] { "Id", "Team", "Host", "Path", "AcceptedMillis", "Total", "Recorded", "Ended", "TokensWaiting", "Owner", });
+        new java.lang.String[] { "Id", "Team", "Host", "Path", "AcceptedMillis", "Total", "Recorded", "Ended", "TokensWaiting", "Owner", "AcceptedStoreMillis", "AbandonMillis", "ConfigurationVersion", });
     internal_static_tanagermoor_gateway_ResultPart_descriptor =
       getDescriptor().getMessageType(26);
     internal_static_tanagermoor_gateway_ResultPart_fieldAccessorTable = new
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/JobRow.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/JobRow.java
@@ -315,6 +315,53 @@
     }
   }
 
+  public static final int ACCEPTED_STORE_MILLIS_FIELD_NUMBER = 11;
+  private long acceptedStoreMillis_ = 0L;
+  /**
+   * <pre>
+   * The clock of the store at the acceptance in milliseconds; 0 if it was not known.
+   * </pre>
+   *
+   * <code>uint64 accepted_store_millis = 11;</code>
+   * @return The acceptedStoreMillis.
+   */
+  @java.lang.Override
+  public long getAcceptedStoreMillis() {
+    return acceptedStoreMillis_;
+  }
+
+  public static final int ABANDON_MILLIS_FIELD_NUMBER = 12;
+  private long abandonMillis_ = 0L;
+  /**
+   * <pre>
+   * The time after its acceptance at which its items may be abandoned, by the route that an owner last knew, in
+   * milliseconds; 0 if it is not recorded.
+   * </pre>
+   *
+   * <code>uint64 abandon_millis = 12;</code>
+   * @return The abandonMillis.
+   */
+  @java.lang.Override
+  public long getAbandonMillis() {
+    return abandonMillis_;
+  }
+
+  public static final int CONFIGURATION_VERSION_FIELD_NUMBER = 13;
+  private long configurationVersion_ = 0L;
+  /**
+   * <pre>
+   * The newest version of the configuration by which the job was accepted or its route was known to an owner; 0 if it
+   * is not recorded.
+   * </pre>
+   *
+   * <code>uint64 configuration_version = 13;</code>
+   * @return The configurationVersion.
+   */
+  @java.lang.Override
+  public long getConfigurationVersion() {
+    return configurationVersion_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -359,6 +406,15 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(owner_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 10, owner_);
     }
+    if (acceptedStoreMillis_ != 0L) {
+      output.writeUInt64(11, acceptedStoreMillis_);
+    }
+    if (abandonMillis_ != 0L) {
+      output.writeUInt64(12, abandonMillis_);
+    }
+    if (configurationVersion_ != 0L) {
+      output.writeUInt64(13, configurationVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -398,6 +454,18 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(owner_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(10, owner_);
     }
+    if (acceptedStoreMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(11, acceptedStoreMillis_);
+    }
+    if (abandonMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(12, abandonMillis_);
+    }
+    if (configurationVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(13, configurationVersion_);
+    }
     return size;
   }
   @java.lang.Override
@@ -442,6 +510,12 @@
         != other.getTokensWaiting()) return false;
     if (!getOwner()
         .equals(other.getOwner())) return false;
+    if (getAcceptedStoreMillis()
+        != other.getAcceptedStoreMillis()) return false;
+    if (getAbandonMillis()
+        != other.getAbandonMillis()) return false;
+    if (getConfigurationVersion()
+        != other.getConfigurationVersion()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -476,6 +550,15 @@
         getTokensWaiting());
     hash = (37 * hash) + OWNER_FIELD_NUMBER;
     hash = (53 * hash) + getOwner().hashCode();
+    hash = (37 * hash) + ACCEPTED_STORE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAcceptedStoreMillis());
+    hash = (37 * hash) + ABANDON_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAbandonMillis());
+    hash = (37 * hash) + CONFIGURATION_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getConfigurationVersion());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -621,6 +704,9 @@
       ended_ = false;
       tokensWaiting_ = 0L;
       owner_ = "";
+      acceptedStoreMillis_ = 0L;
+      abandonMillis_ = 0L;
+      configurationVersion_ = 0L;
       return this;
     }
 
@@ -684,6 +770,15 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.owner_ = owner_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.acceptedStoreMillis_ = acceptedStoreMillis_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.abandonMillis_ = abandonMillis_;
+      }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.configurationVersion_ = configurationVersion_;
+      }
     }
 
     @java.lang.Override
@@ -738,6 +833,15 @@
         bitField0_ |= 0x00000200;
         onChanged();
       }
+      if (other.getAcceptedStoreMillis() != 0L) {
+        setAcceptedStoreMillis(other.getAcceptedStoreMillis());
+      }
+      if (other.getAbandonMillis() != 0L) {
+        setAbandonMillis(other.getAbandonMillis());
+      }
+      if (other.getConfigurationVersion() != 0L) {
+        setConfigurationVersion(other.getConfigurationVersion());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -812,6 +916,21 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 82
+            case 88: {
+              acceptedStoreMillis_ = input.readUInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
+            case 96: {
+              abandonMillis_ = input.readUInt64();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
+            case 104: {
+              configurationVersion_ = input.readUInt64();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1373,6 +1492,144 @@
       return this;
     }
 
+    private long acceptedStoreMillis_ ;
+    /**
+     * <pre>
+     * The clock of the store at the acceptance in milliseconds; 0 if it was not known.
+     * </pre>
+     *
+     * <code>uint64 accepted_store_millis = 11;</code>
+     * @return The acceptedStoreMillis.
+     */
+    @java.lang.Override
+    public long getAcceptedStoreMillis() {
+      return acceptedStoreMillis_;
+    }
+    /**
+     * <pre>
+     * The clock of the store at the acceptance in milliseconds; 0 if it was not known.
+     * </pre>
+     *
+     * <code>uint64 accepted_store_millis = 11;</code>
+     * @param value The acceptedStoreMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAcceptedStoreMillis(long value) {
+
+      acceptedStoreMillis_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The clock of the store at the acceptance in milliseconds; 0 if it was not known.
+     * </pre>
+     *
+     * <code>uint64 accepted_store_millis = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAcceptedStoreMillis() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      acceptedStoreMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long abandonMillis_ ;
+    /**
+     * <pre>
+     * The time after its acceptance at which its items may be abandoned, by the route that an owner last knew, in
+     * milliseconds; 0 if it is not recorded.
+     * </pre>
+     *
+     * <code>uint64 abandon_millis = 12;</code>
+     * @return The abandonMillis.
+     */
+    @java.lang.Override
+    public long getAbandonMillis() {
+      return abandonMillis_;
+    }
+    /**
+     * <pre>
+     * The time after its acceptance at which its items may be abandoned, by the route that an owner last knew, in
+     * milliseconds; 0 if it is not recorded.
+     * </pre>
+     *
+     * <code>uint64 abandon_millis = 12;</code>
+     * @param value The abandonMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAbandonMillis(long value) {
+
+      abandonMillis_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The time after its acceptance at which its items may be abandoned, by the route that an owner last knew, in
+     * milliseconds; 0 if it is not recorded.
+     * </pre>
+     *
+     * <code>uint64 abandon_millis = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAbandonMillis() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      abandonMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long configurationVersion_ ;
+    /**
+     * <pre>
+     * The newest version of the configuration by which the job was accepted or its route was known to an owner; 0 if it
+     * is not recorded.
+     * </pre>
+     *
+     * <code>uint64 configuration_version = 13;</code>
+     * @return The configurationVersion.
+     */
+    @java.lang.Override
+    public long getConfigurationVersion() {
+      return configurationVersion_;
+    }
+    /**
+     * <pre>
+     * The newest version of the configuration by which the job was accepted or its route was known to an owner; 0 if it
+     * is not recorded.
+     * </pre>
+     *
+     * <code>uint64 configuration_version = 13;</code>
+     * @param value The configurationVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfigurationVersion(long value) {
+
+      configurationVersion_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest version of the configuration by which the job was accepted or its route was known to an owner; 0 if it
+     * is not recorded.
+     * </pre>
+     *
+     * <code>uint64 configuration_version = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfigurationVersion() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      configurationVersion_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:tanagermoor.gateway.JobRow)
   }
 
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/JobRowOrBuilder.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/proto/JobRowOrBuilder.java
@@ -107,4 +107,36 @@
    */
   com.google.protobuf.ByteString
       getOwnerBytes();
+
+  /**
+   * <pre>
+   * The clock of the store at the acceptance in milliseconds; 0 if it was not known.
+   * </pre>
+   *
+   * <code>uint64 accepted_store_millis = 11;</code>
+   * @return The acceptedStoreMillis.
+   */
+  long getAcceptedStoreMillis();
+
+  /**
+   * <pre>
+   * The time after its acceptance at which its items may be abandoned, by the route that an owner last knew, in
+   * milliseconds; 0 if it is not recorded.
+   * </pre>
+   *
+   * <code>uint64 abandon_millis = 12;</code>
+   * @return The abandonMillis.
+   */
+  long getAbandonMillis();
+
+  /**
+   * <pre>
+   * The newest version of the configuration by which the job was accepted or its route was known to an owner; 0 if it
+   * is not recorded.
+   * </pre>
+   *
+   * <code>uint64 configuration_version = 13;</code>
+   * @return The configurationVersion.
+   */
+  long getConfigurationVersion();
 }
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobFleet.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobFleet.java
@@ -31,6 +31,7 @@
 import org.tanagermoor.gateway.edge.CallHead;
 import org.tanagermoor.gateway.edge.CallerRequest;
 import org.tanagermoor.gateway.follow.ChangeFeed;
+import org.tanagermoor.gateway.follow.StoreClock;
 import org.tanagermoor.gateway.forward.Delivery;
 import org.tanagermoor.gateway.forward.TargetConnections;
 import org.tanagermoor.gateway.forward.TargetHead;
@@ -296,7 +297,9 @@
                     ItemPace.of(),
                     String::length,
                     duties,
-                    Duration.ofSeconds(1_000));
+                    Duration.ofSeconds(1_000),
+                    StoreClock.of(),
+                    () -> now);
             jobs = Jobs.of(context, liveness, () -> true);
         }
 
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -53,6 +53,7 @@
 import org.tanagermoor.gateway.fleet.RouteKind;
 import org.tanagermoor.gateway.fleet.TargetEntry;
 import org.tanagermoor.gateway.follow.ChangeFeed;
+import org.tanagermoor.gateway.follow.StoreClock;
 import org.tanagermoor.gateway.forward.TargetConnections;
 import org.tanagermoor.gateway.forward.TargetHead;
 import org.tanagermoor.gateway.forward.TargetObserver;
@@ -169,6 +170,9 @@
     /** Current time in nanoseconds. */
     private long now = TimeUnit.SECONDS.toNanos(100);
 
+    /** Whether the store confirms the configuration all the time. */
+    private boolean configurationRead = true;
+
     private FleetState fleet;
 
     private Liveness liveness;
@@ -220,7 +224,9 @@
                 ItemPace.of(),
                 String::length,
                 duties,
-                retention);
+                retention,
+                StoreClock.of(),
+                () -> configurationRead ? now : 0);
         jobs = Jobs.of(context, liveness, () -> true);
     }
 
@@ -574,7 +580,7 @@
                 .setAcceptedMillis(time.wallMillis())
                 .build();
         JobContent content = JobContent.newBuilder().addAllItems(items).build();
-        JobRun run = new JobRun(context, store.accept(accepted, content).block().get(), record -> {});
+        JobRun run = new JobRun(context, store.accept(accepted, content).block().get(), now, record -> {});
         commitsFail = true;
         run.start(content);
         items.forEach(item -> run.finished(new JobResult(item.getId(), true, output)));
@@ -644,7 +650,7 @@
                 .addItems(JobItem.newBuilder().setId("1"))
                 .build();
         JobRecord accepted = store.accept(row, content).block().get();
-        JobRun run = new JobRun(context, accepted, record -> {});
+        JobRun run = new JobRun(context, accepted, now, record -> {});
         run.start(content);
         commitsFail = !answered;
         commitDelayMillis = 500;
