Withdraw the ask of an item whose route has moved or gone

Cause: the service was read when the item asked, and not looked at again while it waited or when it got a place.

Change: the owner withdraws asks at a service that the route no longer leads to, at each tick and before a run.

Evidence: on the case NONE of JobRouteSessionTest lists items of routes that were removed, or given another kind, host or prefix, as completed.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/ItemRun.java
@@ -100,6 +100,9 @@
     /** Number of the permit that the item has or waits for; 0 for none. */
     private long permit;
 
+    /** The service at which the item last asked for a place. */
+    private String askedService = "";
+
     /** The target of the last run, or {@code null} before the first. */
     @Nullable
     private TargetEntry target;
@@ -232,6 +235,7 @@
         log.enter(ItemLog.Phase.WAITING, context.time().nanos());
         permit = context.dispatch().nextPermit();
         long askedPermit = permit;
+        askedService = JobTerms.itemService(route);
         Work work = context.pace().remaining(lastEvent);
         RequestTraits traits = RequestTraits.of(
                 route, job.team(), item.getTokens(), context.fleet().configuration());
@@ -241,7 +245,7 @@
                         new Ask(
                                         context.dispatch().self(),
                                         permit,
-                                        JobTerms.itemService(route),
+                                        askedService,
                                         "",
                                         context.domain(),
                                         0,
@@ -256,6 +260,22 @@
                         decision -> onDecision(askedPermit, decision));
     }
 
+    /** Stops waiting for a place; the item can ask again. */
+    void withdraw() {
+        if (state == ItemState.ASKING) {
+            returnPermit(PlaceOutcome.UNUSED);
+            state = ItemState.IDLE;
+            log.enter(ItemLog.Phase.IDLE, context.time().nanos());
+        }
+    }
+
+    /** Stops waiting for a place, unless it is one at the given service. */
+    void withdrawUnlessAsking(String service) {
+        if (!askedService.equals(service)) {
+            withdraw();
+        }
+    }
+
     /** Ends the current run; the item does not run again on this instance. */
     void stop() {
         endRun(ItemLog.RunEnd.STOPPED, "the item is no longer wanted here");
@@ -313,6 +333,11 @@
             retry(PlaceOutcome.UNUSED, RETRY_DELAY_MILLIS);
             return;
         }
+        if (!job.mayRunAt(entry.service())) {
+            log.refused(PlacementDecision.Reason.NO_TARGET, "the route of the job no longer leads to " + id);
+            retry(PlaceOutcome.UNUSED, RETRY_DELAY_MILLIS);
+            return;
+        }
         state = ItemState.RUNNING;
         hold.runStarted();
         startedAt = context.time().nanos();
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
@@ -145,6 +145,11 @@
         return terms.dueMillis(job.row(), context.time().wallMillis());
     }
 
+    /** Returns whether a target of a service may run items of the job now. */
+    boolean mayRunAt(String service) {
+        return terms.mayRunAt(job.row(), service);
+    }
+
     /** Starts a job that was just accepted, whose items are known. */
     void start(JobContent content) {
         load(content, Set.of(), Map.of());
@@ -299,7 +304,7 @@
         waitReason = decision instanceof JobExpiry.Decision.Wait wait ? wait.reason() : "";
         switch (decision) {
             case JobExpiry.Decision.Run run -> askForPlaces(run.route());
-            case JobExpiry.Decision.Wait wait -> {}
+            case JobExpiry.Decision.Wait wait -> unstarted().forEach(ItemRun::withdraw);
             case JobExpiry.Decision.AbandonWaiting waiting ->
                 unstarted().forEach(item -> item.abandon(waiting.reason()));
             case JobExpiry.Decision.AbandonAll all ->
@@ -312,8 +317,9 @@
         return items.values().stream().filter(item -> !item.running()).toList();
     }
 
-    /** Asks for places at the service of a route. */
+    /** Asks for places at the service of a route. Items that wait for one at another service ask anew. */
     private void askForPlaces(Route route) {
+        items.values().forEach(item -> item.withdrawUnlessAsking(JobTerms.itemService(route)));
         long due = TimeUnit.MILLISECONDS.toNanos(
                 JobTerms.dueMillis(job.row(), route, context.time().wallMillis()));
         for (ItemRun item : AskOrder.next(items.values())) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobTerms.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobTerms.java
@@ -50,6 +50,11 @@
         return lastRoute(job).map(Route::attempts).orElse(1);
     }
 
+    /** Returns whether a target of a service may run items of the job now. */
+    boolean mayRunAt(JobRow job, String service) {
+        return route(job) instanceof JobRoute.Known known && service.equals(itemService(known.route()));
+    }
+
     /** Returns what is known about the route of the job. */
     JobRoute route(JobRow job) {
         return JobRoute.of(context.fleet().configuration(), job);
