Believe no answer that ends with a connection its target has reset

Cause: a socket that is closed with unread bytes can send the end of its output before the reset. The end alone was read, the connection closed, and the next connection to the target was taken for the proof that the answer was complete. A request that was not written did not matter either. Not the cause: a write that fails; its exchange fails before the end of the answer is decoded.

Change: the side of the instance stays open when a target ends its own. The answer is complete only if the request was written, the target takes the next connection, and an empty line can then be written on the old one, which fails after a reset. A write that fails no longer closes the connection at once, so that an early refusal with a length is read.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
@@ -1,8 +1,11 @@
 package org.tanagermoor.gateway.forward;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -11,6 +14,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
@@ -35,6 +40,15 @@
     /** The number of bytes that the head of a skipped answer is counted as: the size of a short one. */
     private static final long SKIPPED_HEAD_BYTES = 256;
 
+    /**
+     * The time for which an answer is read whose request could not be written, in milliseconds: what a target sends
+     * before it stops reading, such as a refusal, arrives within it.
+     */
+    private static final long UNWRITTEN_ANSWER_MILLIS = 100;
+
+    /** An empty line, which receivers ignore before a request. */
+    private static final byte[] EMPTY_LINE = "\r\n".getBytes(StandardCharsets.US_ASCII);
+
     /** Matches the status line of another answer inside a head. */
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
 
@@ -119,8 +133,14 @@
         return target;
     }
 
+    /** Returns whether the target can send more on the connection. */
     boolean open() {
-        return context != null && context.channel().isActive();
+        return context != null && context.channel().isActive() && !inputEnded();
+    }
+
+    /** Returns whether the target has ended its side of the connection. */
+    private boolean inputEnded() {
+        return context != null && context.channel() instanceof DuplexChannel duplex && duplex.isInputShutdown();
     }
 
     /** Returns whether no exchange runs. */
@@ -160,11 +180,27 @@
         requestWrite = context.writeAndFlush(request);
         requestWrite.addListener(done -> {
             if (!done.isSuccess()) {
-                close(Failure.Kind.UNAVAILABLE, "the request could not be written");
+                failUnwritten(receiver);
             }
         });
     }
 
+    /** Fails an exchange whose request could not be written, unless its answer is complete shortly after. */
+    private void failUnwritten(TargetListener receiver) {
+        if (context == null) {
+            return;
+        }
+        context.executor()
+                .schedule(
+                        () -> {
+                            if (listener == receiver) {
+                                close(Failure.Kind.UNAVAILABLE, "the request could not be written");
+                            }
+                        },
+                        UNWRITTEN_ANSWER_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
     /** Closes the connection, and ends the exchange without waiting for its answer. */
     void cancel() {
         listener = null;
@@ -204,6 +240,15 @@
         }
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext value, Object event) {
+        if (event instanceof ChannelInputShutdownEvent && !endUnconfirmed) {
+            close(Failure.Kind.UNAVAILABLE, "the connection was closed");
+        }
+        value.fireUserEventTriggered(event);
+    }
+
     /** {@inheritDoc} */
     @Override
     public void exceptionCaught(ChannelHandlerContext value, Throwable cause) {
@@ -323,30 +368,55 @@
         }
     }
 
-    /** Ends an exchange whose answer is complete if its target still runs. */
+    /**
+     * Ends an exchange whose answer ended with the connection, and whose target still runs. A target that closed its
+     * socket before it had read the request has reset the connection, which only a write shows once the end of its
+     * output has been read.
+     */
     void confirmEnd() {
+        if (context == null || listener == null) {
+            cancel();
+            return;
+        }
+        context.pipeline()
+                .firstContext()
+                .writeAndFlush(Unpooled.wrappedBuffer(EMPTY_LINE))
+                .addListener(done -> {
+                    if (done.isSuccess()) {
+                        endConfirmed();
+                    } else {
+                        denyEnd("the target reset the connection after its answer");
+                    }
+                });
+    }
+
+    private void endConfirmed() {
         TargetListener receiver = listener;
-        listener = null;
+        cancel();
         if (receiver != null) {
             receiver.end(new Delivery(false, requests > 1, skippedAnswers));
         }
     }
 
-    /** Fails an exchange whose target does not run any more: its crash may have ended the answer. */
+    /** Fails an exchange whose answer ended with the connection, and may have been cut off. */
     void denyEnd(String detail) {
-        fail(Failure.Kind.UNAVAILABLE, detail, true);
+        close(Failure.Kind.UNAVAILABLE, detail);
     }
 
     /** Ends an exchange whose answer has ended. */
     private void finish(TargetListener receiver) {
+        boolean requestWritten = requestWrite != null && requestWrite.isSuccess();
         if (!framed && !open()) {
-            endUnconfirmed = true;
-            onUnframedEnd.accept(this);
+            if (requestWritten) {
+                endUnconfirmed = true;
+                onUnframedEnd.accept(this);
+            } else {
+                close(Failure.Kind.UNAVAILABLE, "the answer ended before the request was written");
+            }
             return;
         }
         listener = null;
         head = null;
-        boolean requestWritten = requestWrite != null && requestWrite.isSuccess();
         if (reusable && requestWritten && open()) {
             onIdle.accept(this);
         } else if (context != null) {
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnections.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnections.java
@@ -177,6 +177,9 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // What was sent before a target closed its side, or stopped reading, is still read.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .option(ChannelOption.AUTO_CLOSE, false)
                 .handler(new ChannelInitializer<Channel>() {
                     /** {@inheritDoc} */
                     @Override
