Take nothing for an answer that has no status of HTTP

What callers saw: signed answers with the status 600 or 999 came to them, one with 0200, +200 or 2000 as a 200; after one with 000, 099, 20 or a needless 101 they waited for their whole deadline (504).

Cause: the decoder of the library takes any number for a status, and all below 200 counted as informational, so that the answer was skipped.

Change: a decoder of the targets' answers takes three digits from 100 to 599 without 101, which no request asks for. Anything else is no answer: the exchange ends at once as broken, and is tried again as its route allows.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -72,6 +73,9 @@
     @Nullable
     private TargetListener listener;
 
+    /** Whether the answer to the current request has no body. */
+    private boolean bodiless;
+
     /** The identity of the current request. */
     private String id = "";
 
@@ -148,6 +152,11 @@
         return listener == null;
     }
 
+    /** Returns whether the answer to the current request has no body, whatever its head says. */
+    boolean bodiless() {
+        return bodiless;
+    }
+
     /** Records that the connection is idle from now on. */
     void idleSince(long now) {
         idleSince = now;
@@ -167,6 +176,7 @@
     void send(FullHttpRequest request, String requestId, TargetListener receiver) {
         listener = receiver;
         id = requestId;
+        bodiless = request.method().equals(HttpMethod.HEAD);
         head = null;
         reusable = false;
         skippedBytes = 0;
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnections.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/forward/TargetConnections.java
@@ -8,7 +8,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -187,7 +187,8 @@
                         channel.pipeline()
                                 .addLast(
                                         new IdleConnectionGuard(handler),
-                                        new HttpClientCodec(MAX_HEAD_BYTES, MAX_HEAD_BYTES, MAX_HEAD_BYTES),
+                                        new HttpRequestEncoder(),
+                                        new TargetAnswerDecoder(MAX_HEAD_BYTES, handler::bodiless),
                                         handler);
                     }
                 })
