Read the items of a job again if some are missing

What callers would see: an answer of the store without a length that is cut off between two items parses as a job with fewer items. Those that are missing would never run, and a request for the body of one got a 404 (LOST).

Cause: the items that were read were not compared with the number that the row of the job has.

Change: a read that finds another number of items fails, and is repeated.

--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobRun.java
@@ -164,7 +164,7 @@
                 .call(
                         DUTY,
                         () -> Mono.zip(
-                                context.store().content(id()),
+                                context.store().content(job.row()),
                                 context.store().recordedItems(job.row()),
                                 context.store().progress(id())),
                         read -> resumed(read.getT1(), read.getT2(), read.getT3()),
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobStore.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/JobStore.java
@@ -235,15 +235,26 @@
                         : record(row.get().value(), row.get().version()).map(Optional::of)));
     }
 
-    /** Reads the items of a job; fails if they are missing or malformed. */
-    public Mono<Either<Failure, JobContent>> content(String job) {
-        return objects.get(objectName(job))
+    /**
+     * Reads the items of a job.
+     *
+     * @param job The row of the job.
+     * @return The items, or a failure, also if some are missing: an answer of the store that was cut off between two
+     *     items looks complete.
+     */
+    public Mono<Either<Failure, JobContent>> content(JobRow job) {
+        return objects.get(objectName(job.getId()))
                 .map(result -> result.flatMap(bytes -> {
                     if (bytes.isEmpty()) {
                         return Either.left(failure("job.content", "the object does not exist"));
                     }
                     try {
-                        return Either.right(JobContent.parseFrom(bytes.get()));
+                        JobContent content = JobContent.parseFrom(bytes.get());
+                        return content.getItemsCount() == job.getTotal()
+                                ? Either.right(content)
+                                : Either.left(failure(
+                                        "job.content",
+                                        "found " + content.getItemsCount() + " of " + job.getTotal() + " items"));
                     } catch (InvalidProtocolBufferException exception) {
                         return Either.left(failure("job.content", String.valueOf(exception.getMessage())));
                     }
--- a/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
+++ b/tanagermoor-gateway/src/main/java/org/tanagermoor/gateway/job/Jobs.java
@@ -275,7 +275,7 @@
                 return;
             }
             context.store()
-                    .content(request.job())
+                    .content(view.record().row())
                     .subscribe(result -> context.loop()
                             .execute(() -> answer.accept(
                                     result.isLeft()
--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/job/JobsTest.java
@@ -22,6 +22,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
@@ -45,6 +46,7 @@
 import org.tanagermoor.gateway.duty.Duties;
 import org.tanagermoor.gateway.edge.CallHead;
 import org.tanagermoor.gateway.edge.CallerRequest;
+import org.tanagermoor.gateway.edge.Refusal;
 import org.tanagermoor.gateway.fleet.Backend;
 import org.tanagermoor.gateway.fleet.CallerLimits;
 import org.tanagermoor.gateway.fleet.FleetCodec;
@@ -163,6 +165,9 @@
     /** Whether the store fails to delete objects. */
     private boolean deletionFails;
 
+    /** The number of bytes of an object after which answers are cut off. */
+    private int readableBytes = Integer.MAX_VALUE;
+
     private final TimeSource time = new Clock();
 
     private final EventLog log = new Log();
@@ -319,6 +324,32 @@
         assertThat(recorded.get(GatewayEvent.JOB_NOT_RUN), contains("j"));
     }
 
+    /** Items after the point at which an answer of the store was cut off were never run, and their bodies not found. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2})
+    void readsItemsAgainThatWereCutOff(int complete) {
+        server.dispatcher().targets(List.of(), service -> 0, now);
+        List<JobItem> items = IntStream.range(0, 3)
+                .mapToObj(item -> JobItem.newBuilder()
+                        .setId(Integer.toString(item))
+                        .setPath("/batch/j")
+                        .build())
+                .toList();
+        recordJob(items, "");
+        readableBytes = JobContent.newBuilder()
+                .addAllItems(items.subList(0, complete))
+                .build()
+                .getSerializedSize();
+        advance(2_000);
+        List<JobAnswer> bodies = new ArrayList<>();
+        jobs.item(new CallerRequest.ReadItem(head("r"), "j", "2"), "", bodies::add);
+        advance(100);
+        assertThat(((JobAnswer.Refused) bodies.get(0)).refusal().kind(), is(Refusal.Kind.UNAVAILABLE));
+        readableBytes = Integer.MAX_VALUE;
+        advance(ABANDON_MILLIS + 5_000);
+        assertThat(recorded.get(GatewayEvent.ITEM_ABANDONED), contains("2"));
+    }
+
     /**
      * All items of a job are given up at once on a thread with a stack as small as that of an instance, however many
      * there are. The calls were nested once for each item.
@@ -373,7 +404,8 @@
                 .build();
         assertThat(store.accept(formerRecord.row(), content).block().isRight(), is(true));
         assertThat(store.delete(formerRecord).block().isLeft(), is(true));
-        assertThat(store.content("j").block().get(), is(content));
+        assertThat(
+                store.content(store.read("j").block().get().get().row()).block().get(), is(content));
         assertThat(rowExists(), is(true));
     }
 
@@ -699,18 +731,20 @@
     }
 
     private void submit(String job, int count) {
-        CallHead head =
-                new CallHead(job, "POST", "/batch/j", "/batch/j", "host", null, 0, Prompt.NONE, 0, 0, List.of());
         List<JobItem> items = IntStream.range(0, count)
                 .mapToObj(item -> JobItem.newBuilder()
                         .setId(Integer.toString(item))
                         .setPath("/batch/j")
                         .build())
                 .toList();
-        jobs.submit(head, ROUTE, "shop", items, answer -> assertThat(answer, is(new JobAnswer.Accepted())));
+        jobs.submit(head(job), ROUTE, "shop", items, answer -> assertThat(answer, is(new JobAnswer.Accepted())));
         channel.runPendingTasks();
     }
 
+    private static CallHead head(String id) {
+        return new CallHead(id, "POST", "/batch/j", "/batch/j", "host", null, 0, Prompt.NONE, 0, 0, List.of());
+    }
+
     /** Runs an action on a thread with a stack as small as that of an instance. */
     private static void runOnASmallStack(Runnable action) throws InterruptedException {
         AtomicReference<Throwable> error = new AtomicReference<>();
@@ -822,7 +856,9 @@
         /** {@inheritDoc} */
         @Override
         public Mono<Either<Failure, Optional<byte[]>>> get(String name) {
-            return objects.get(name);
+            return objects.get(name)
+                    .map(result -> result.map(found -> found.map(
+                            bytes -> readableBytes < bytes.length ? Arrays.copyOf(bytes, readableBytes) : bytes)));
         }
 
         /** {@inheritDoc} */
