--- a/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/follow/TableFollowerTest.java
+++ b/tanagermoor-gateway/src/test/java/org/tanagermoor/gateway/follow/TableFollowerTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.hasItems;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 
 import com.codahale.metrics.MetricRegistry;
@@ -123,6 +124,21 @@
         assertThat(follower.recoveredAt() > before, is(forAll));
     }
 
+    /** What is known as of an answer is what the store had when it was called: changes may have come meanwhile. */
+    @Test
+    void knowsTheChangesUpToTheLastCallThatWasAnswered() {
+        long before = now;
+        advance(6_000);
+        assertThat(follower.readAt(), is(greaterThan(before)));
+        assertThat(follower.readAt(), is(lessThan(follower.answeredAt())));
+        answers = false;
+        advance(3_000);
+        long last = follower.readAt();
+        advance(10_000);
+        follower.adopt(List.of(), ++revision, "peer");
+        assertThat(follower.readAt(), is(last));
+    }
+
     /**
      * An error of any kind, of the listener or of the store's client, ended the following for good and without a word.
      * Rows that the listener could not take are passed on again, and others are not held up by them.
