--- /dev/null
+++ b/review/stand-3/Engine.java
@@ -0,0 +1,261 @@
+package review;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A stand-in for a model server, which registers in the store and answers each request with a stream of events. */
+public final class Engine implements AutoCloseable {
+
+    /** A run of a request, from the first event on. */
+    public record Run(String server, String request, String team, String path, long startedAt, int after) {}
+
+    private static final long HEARTBEAT_MILLIS = 1_200;
+
+    private static final int QUEUE = 24;
+
+    private final String id;
+
+    private final String service;
+
+    private final String zone;
+
+    private final int slots;
+
+    private final int events;
+
+    private final long gapMillis;
+
+    private final Store store;
+
+    private final Log log;
+
+    private final int port;
+
+    private final ServerSocket server;
+
+    private final Semaphore places;
+
+    private final AtomicInteger waiting = new AtomicInteger();
+
+    private final long born = System.currentTimeMillis();
+
+    private final List<Run> runs = new ArrayList<>();
+
+    private volatile boolean closed;
+
+    /** The requests a second that the answers name as the limit; empty for none. */
+    private volatile String limit = "";
+
+    private long sequence;
+
+    /** The share of the answers of which a second copy follows late, before the next answer on the connection. */
+    private volatile double copies;
+
+    /** The last answer on each connection. */
+    private final Map<Socket, byte[]> lastAnswers = new ConcurrentHashMap<>();
+
+    /** The number of second copies that were sent. */
+    private final AtomicInteger sentCopies = new AtomicInteger();
+
+    /**
+     * Starts a server.
+     *
+     * @param slots The number of requests that run at once.
+     * @param events The number of events of an answer.
+     * @param gapMillis The time between two events, in milliseconds.
+     */
+    public Engine(Store store, Log log, String id, String service, String zone, int slots, int events, long gapMillis)
+            throws IOException {
+        this.store = store;
+        this.log = log;
+        this.id = id;
+        this.service = service;
+        this.zone = zone;
+        this.slots = slots;
+        this.events = events;
+        this.gapMillis = gapMillis;
+        places = new Semaphore(slots, true);
+        port = Http.freePort();
+        server = Http.serve(port, this::handle);
+        Thread.ofVirtual().start(this::beat);
+    }
+
+    private void beat() {
+        try {
+            while (!closed) {
+                store.put(
+                        "servers",
+                        id,
+                        "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + port + "\",\"zone\":\"" + zone
+                                + "\",\"version\":\"v1\",\"capacity\":" + slots
+                                + ",\"state\":\"ready\",\"warmup_left_ms\":0,\"born\":" + born
+                                + ",\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]"
+                                + ",\"sequence\":" + ++sequence + "}");
+                Thread.sleep(HEARTBEAT_MILLIS);
+            }
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Sets the requests a second that the answers name as the limit from now on; empty for none. */
+    public void limit(String value) {
+        log.line("server " + id + (value.isEmpty() ? " names no limit" : " names the limit " + value));
+        limit = value;
+    }
+
+    /** Sets the share of the answers of which a second copy is sent late, when the next answer is expected. */
+    public void copies(double value) {
+        log.line("server " + id + " sends a late second copy of the share " + value + " of its answers");
+        copies = value;
+    }
+
+    /** Returns the number of second copies that were sent. */
+    public int sentCopies() {
+        return sentCopies.get();
+    }
+
+    /** Returns the runs so far. */
+    public synchronized List<Run> runs() {
+        return List.copyOf(runs);
+    }
+
+    /** Returns the number of requests that run now. */
+    public int running() {
+        return slots - places.availablePermits();
+    }
+
+    private boolean handle(Http.Request request, Socket socket) throws Exception {
+        String load = running() + "," + waiting.get() + "," + slots;
+        if (request.path().equals("/healthz")) {
+            Http.write(socket, 200, Map.of("X-Instance-Id", id, "X-Server-Load", load), new byte[0]);
+            return true;
+        }
+        String name = request.header("X-Request-Id");
+        String expected = request.header("X-Expect-Instance");
+        if (!expected.isEmpty() && !expected.equals(id)) {
+            Http.write(socket, 421, Map.of("X-Request-Id", name, "X-Instance-Id", id), new byte[0]);
+            return true;
+        }
+        if (places.availablePermits() == 0 && waiting.get() >= QUEUE) {
+            Http.write(socket, 503, Map.of("X-Request-Id", name, "X-Not-Executed", "1"), new byte[0]);
+            return true;
+        }
+        waiting.incrementAndGet();
+        places.acquire();
+        waiting.decrementAndGet();
+        try {
+            return stream(request, socket, name, load);
+        } finally {
+            places.release();
+        }
+    }
+
+    private boolean stream(Http.Request request, Socket socket, String name, String load) throws Exception {
+        int after = request.header("Last-Event-Id").isEmpty() ? 0 : Integer.parseInt(request.header("Last-Event-Id"));
+        Run run = new Run(id, name, request.header("X-Tenant"), request.path(), System.nanoTime(), after);
+        synchronized (this) {
+            runs.add(run);
+        }
+        log.line("server " + id + " begins " + name + " of " + run.team() + " after event " + after);
+        byte[] last = lastAnswers.remove(socket);
+        if (last != null && copies > 0 && ThreadLocalRandom.current().nextDouble() < copies) {
+            sentCopies.incrementAndGet();
+            log.line("server " + id + " sends a second copy of the answer before on this connection");
+            socket.getOutputStream().write(last);
+            socket.getOutputStream().flush();
+        }
+        ByteArrayOutputStream sent = new ByteArrayOutputStream();
+        OutputStream output = new Tee(socket.getOutputStream(), sent);
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("Content-Type", "text/event-stream");
+        headers.put("X-Request-Id", name);
+        headers.put("X-Response-Signature", "s." + id + "." + name);
+        headers.put("X-Server-Load", load);
+        headers.put("X-Weight-Versions", "1");
+        if (!limit.isEmpty()) {
+            headers.put("Server-Limit", limit);
+        }
+        headers.put("Transfer-Encoding", "chunked");
+        StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\n");
+        headers.forEach((key, value) ->
+                head.append(key).append(": ").append(value).append("\r\n"));
+        output.write(head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1));
+        output.flush();
+        for (int number = after + 1; number <= events; number++) {
+            Thread.sleep(gapMillis);
+            byte[] event = event(data(name, request.body(), number), number).getBytes(StandardCharsets.UTF_8);
+            output.write((Integer.toHexString(event.length) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            output.write(event);
+            output.write("\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            output.flush();
+        }
+        output.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        output.flush();
+        if (copies > 0) {
+            lastAnswers.put(socket, sent.toByteArray());
+        }
+        log.line("server " + id + " ends " + name);
+        return true;
+    }
+
+    private static String event(String data, int number) {
+        return "id: " + number + "\ndata: " + data + "\n\n";
+    }
+
+    /** Returns the data of an event, which depends on the content of the request. */
+    public static String data(String name, byte[] body, int number) {
+        return name + " " + number + " of " + new String(body, StandardCharsets.UTF_8);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() throws IOException {
+        closed = true;
+        server.close();
+    }
+
+    /** Writes to two streams. */
+    private static final class Tee extends OutputStream {
+
+        private final OutputStream first;
+
+        private final OutputStream second;
+
+        Tee(OutputStream first, OutputStream second) {
+            this.first = first;
+            this.second = second;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void write(int value) throws IOException {
+            write(new byte[] {(byte) value}, 0, 1);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void write(byte[] bytes, int offset, int length) throws IOException {
+            first.write(bytes, offset, length);
+            second.write(bytes, offset, length);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void flush() throws IOException {
+            first.flush();
+        }
+    }
+}
