--- a/review/stand-3/Engine.java
+++ b/review/stand-3/Engine.java
@@ -217,7 +217,7 @@
 
     /** Returns the data of an event, which depends on the content of the request. */
     public static String data(String name, byte[] body, int number) {
-        return name + " " + number + " of " + new String(body, StandardCharsets.UTF_8);
+        return name + " " + number + " of " + new String(body, 0, Math.min(body.length, 80), StandardCharsets.UTF_8);
     }
 
     /** {@inheritDoc} */
