--- a/review/11/MemoryCase.java
+++ b/review/11/MemoryCase.java
@@ -12,7 +12,7 @@
  * Four instances. Eight tenants submit jobs of 200 items, as many as their limits of waiting tokens allow. Three
  * instances are removed for good. Once finish_s is over, the servers are watched.
  */
-public final class MemoryCase extends Case {
+public final class MemoryCase extends ScriptedCase {
 
     /** The time after the last submission after which items of open jobs must be listed, in milliseconds. */
     private static final long FINISH_MILLIS = 18_000;
--- a/review/12/ShareCase.java
+++ b/review/12/ShareCase.java
@@ -7,7 +7,7 @@
  * Three instances, the first with a share of 1.5 cores, the others with 0.333 of a core that is three times as fast. The
  * first one is removed for good. Jobs are submitted afterwards, and read until finish_s after the last submission.
  */
-public final class ShareCase extends Case {
+public final class ShareCase extends ScriptedCase {
 
     /** The time after which items of open jobs must be listed, in milliseconds. */
     private static final long FINISH_MILLIS = 18_000;
--- a/review/13/LimitCase.java
+++ b/review/13/LimitCase.java
@@ -10,7 +10,7 @@
  * quota. The only server of the service names a limit for ten seconds. Two jobs are submitted meanwhile, and read until
  * finish_s after that; clients of streams ask all the time.
  */
-public final class LimitCase extends Case {
+public final class LimitCase extends ScriptedCase {
 
     /** The time after which items of open jobs must be listed, in milliseconds. */
     private static final long FINISH_MILLIS = 18_000;
--- a/review/15/SilentCase.java
+++ b/review/15/SilentCase.java
@@ -8,7 +8,7 @@
  * Three instances. The open connections of one of them to the store fall silent for good, while new ones work. Just
  * before that a key is given, and just after it the key is taken away. A client asks that instance with the key.
  */
-public final class SilentCase extends Case {
+public final class SilentCase extends ScriptedCase {
 
     /** The time for which a machine is not in touch after its connections have failed, in nanoseconds. */
     private static final long CONTACT_NANOS = 3_000_000_000L;
--- a/review/stand-3/Case.java
+++ b/review/stand-3/ScriptedCase.java
@@ -5,7 +5,7 @@
 import java.util.List;
 
 /** The frame of a case: the stand-ins, the instances and the record, all of which end with it. */
-public abstract class Case {
+public abstract class ScriptedCase {
 
     /** The exit status if the rule held. */
     protected static final int HELD = 0;
