--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,4 +4,4 @@
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
-"$(bin/java-home)/bin/java" -Xmx1g -cp 'target/review-3:target/lib/*' review.MemoryCase "$here"
+"$(bin/java-home)/bin/java" -Xmx256m -cp 'target/review-3:target/lib/*' review.ShareCase "$here"
--- a/review/stand-3/Engine.java
+++ b/review/stand-3/Engine.java
@@ -1,6 +1,5 @@
 package review;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.ServerSocket;
@@ -10,9 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A stand-in for a model server, which registers in the store and answers each request with a stream of events. */
@@ -60,15 +57,6 @@
 
     private long sequence;
 
-    /** The share of the answers of which a second copy follows late, before the next answer on the connection. */
-    private volatile double copies;
-
-    /** The last answer on each connection. */
-    private final Map<Socket, byte[]> lastAnswers = new ConcurrentHashMap<>();
-
-    /** The number of second copies that were sent. */
-    private final AtomicInteger sentCopies = new AtomicInteger();
-
     /**
      * Starts a server.
      *
@@ -116,17 +104,6 @@
         limit = value;
     }
 
-    /** Sets the share of the answers of which a second copy is sent late, when the next answer is expected. */
-    public void copies(double value) {
-        log.line("server " + id + " sends a late second copy of the share " + value + " of its answers");
-        copies = value;
-    }
-
-    /** Returns the number of second copies that were sent. */
-    public int sentCopies() {
-        return sentCopies.get();
-    }
-
     /** Returns the runs so far. */
     public synchronized List<Run> runs() {
         return List.copyOf(runs);
@@ -170,15 +147,7 @@
             runs.add(run);
         }
         log.line("server " + id + " begins " + name + " of " + run.team() + " after event " + after);
-        byte[] last = lastAnswers.remove(socket);
-        if (last != null && copies > 0 && ThreadLocalRandom.current().nextDouble() < copies) {
-            sentCopies.incrementAndGet();
-            log.line("server " + id + " sends a second copy of the answer before on this connection");
-            socket.getOutputStream().write(last);
-            socket.getOutputStream().flush();
-        }
-        ByteArrayOutputStream sent = new ByteArrayOutputStream();
-        OutputStream output = new Tee(socket.getOutputStream(), sent);
+        OutputStream output = socket.getOutputStream();
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("Content-Type", "text/event-stream");
         headers.put("X-Request-Id", name);
@@ -204,9 +173,6 @@
         }
         output.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
         output.flush();
-        if (copies > 0) {
-            lastAnswers.put(socket, sent.toByteArray());
-        }
         log.line("server " + id + " ends " + name);
         return true;
     }
@@ -217,7 +183,7 @@
 
     /** Returns the data of an event, which depends on the content of the request. */
     public static String data(String name, byte[] body, int number) {
-        return name + " " + number + " of " + new String(body, 0, Math.min(body.length, 80), StandardCharsets.UTF_8);
+        return name + " " + number + " of " + new String(body, StandardCharsets.UTF_8);
     }
 
     /** {@inheritDoc} */
@@ -226,36 +192,4 @@
         closed = true;
         server.close();
     }
-
-    /** Writes to two streams. */
-    private static final class Tee extends OutputStream {
-
-        private final OutputStream first;
-
-        private final OutputStream second;
-
-        Tee(OutputStream first, OutputStream second) {
-            this.first = first;
-            this.second = second;
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void write(int value) throws IOException {
-            write(new byte[] {(byte) value}, 0, 1);
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void write(byte[] bytes, int offset, int length) throws IOException {
-            first.write(bytes, offset, length);
-            second.write(bytes, offset, length);
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void flush() throws IOException {
-            first.flush();
-        }
-    }
 }
