review: correct the sizes of case 13

By the texts that the stand-in sends, a result has 150 events of 380 bytes and 55 KB, 143 MB in all; the message of the case says 152 MB, by estimate.

--- a/review/13/ReadersCase.java
+++ b/review/13/ReadersCase.java
@@ -17,12 +17,12 @@
 
     private static final int INSTANCES = 3;
 
-    /** The number of jobs, whose results have 152 MB. */
+    /** The number of jobs, whose results have 143 MB. */
     private static final int JOBS = 26;
 
     private static final int ITEMS = 100;
 
-    /** The number of events of an answer, of 390 bytes each. */
+    /** The number of events of an answer, of 380 bytes each. */
     private static final int EVENTS = 150;
 
     /** The time in which each job must be read again, in milliseconds: finish_s. */
