--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
-"$(bin/java-home)/bin/java" -Xmx1500m -cp 'target/review-3:target/lib/*' review.ReadersCase "$here"
+"$(bin/java-home)/bin/java" -Xmx256m -cp 'target/review-3:target/lib/*' review.SilentCase "$here"
--- a/review/stand-3/Batch.java
+++ b/review/stand-3/Batch.java
@@ -124,6 +124,11 @@
             this.job = job;
         }
 
+        /** Returns the identity of the job. */
+        public String name() {
+            return job;
+        }
+
         /** Reads what is new; returns whether an answer came. */
         public boolean read(int port) {
             JsonNode page = results(port, job, items.size());
--- a/review/stand-3/Engine.java
+++ b/review/stand-3/Engine.java
@@ -9,6 +9,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -55,6 +58,15 @@
     /** The requests a second that the answers name as the limit; empty for none. */
     private volatile String limit = "";
 
+    /** The time for which connections are kept, in seconds; 0 if the answers do not name it. */
+    private volatile int keepAliveSeconds;
+
+    /** The connections that have brought a request. */
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+
+    /** The connections that are silent for good. */
+    private final Set<Socket> silent = ConcurrentHashMap.newKeySet();
+
     private long sequence;
 
     /**
@@ -104,6 +116,17 @@
         limit = value;
     }
 
+    /** Sets the time for which connections are kept, in whole seconds, which the answers name; 0 names none. */
+    public void keepAlive(int seconds) {
+        keepAliveSeconds = seconds;
+    }
+
+    /** Lets the connections that are open now go silent for good: what they bring does not arrive, and nothing is sent. */
+    public void silence() {
+        log.line("the " + connections.size() + " open connections of server " + id + " go silent");
+        silent.addAll(connections);
+    }
+
     /** Returns the runs so far. */
     public synchronized List<Run> runs() {
         return List.copyOf(runs);
@@ -115,6 +138,15 @@
     }
 
     private boolean handle(Http.Request request, Socket socket) throws Exception {
+        connections.add(socket);
+        connections.removeIf(Socket::isClosed);
+        if (silent.contains(socket)) {
+            log.line("server " + id + " does not get " + request.header("X-Request-Id") + ", sent on a silent connection");
+            new CountDownLatch(1).await();
+        }
+        if (keepAliveSeconds > 0) {
+            socket.setSoTimeout(keepAliveSeconds * 1_000);
+        }
         String load = running() + "," + waiting.get() + "," + slots;
         if (request.path().equals("/healthz")) {
             Http.write(socket, 200, Map.of("X-Instance-Id", id, "X-Server-Load", load), new byte[0]);
@@ -157,6 +189,9 @@
         if (!limit.isEmpty()) {
             headers.put("Server-Limit", limit);
         }
+        if (keepAliveSeconds > 0) {
+            headers.put("Keep-Alive", "timeout=" + keepAliveSeconds);
+        }
         headers.put("Transfer-Encoding", "chunked");
         StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\n");
         headers.forEach((key, value) ->
