--- a/review/13/SilentCase.java
+++ b/review/13/SilentCase.java
@@ -4,9 +4,10 @@
 import java.util.List;
 
 /**
- * Three instances and six sound servers, which keep idle connections for a minute and say so. One instance has run a
+ * Three instances and thirteen sound servers, which keep idle connections for a minute and say so. One instance has run a
  * job at all of them. Then all connections to the servers that are open go silent for good, while new ones work. A
- * small job is submitted at that instance, and one at another instance, and both are read until finish_s after that.
+ * job of the usual size is submitted at that instance, and one at another instance, and both are read until finish_s
+ * after that.
  */
 public final class SilentCase extends ScriptedCase {
 
@@ -22,9 +23,11 @@
     /** The time for which a server keeps an idle connection, in seconds. */
     private static final int KEPT_SECONDS = 60;
 
-    private static final int EARLY_ITEMS = 150;
+    private static final int SERVERS = 13;
 
-    private static final int ITEMS = 3;
+    private static final int EARLY_ITEMS = 200;
+
+    private static final int ITEMS = 10;
 
     public static void main(String[] arguments) {
         new SilentCase().run(arguments[0]);
@@ -34,7 +37,7 @@
     @Override
     protected int play() throws Exception {
         store.put("op", "config", Site.configuration(7, ""));
-        for (int number = 0; number < 6; number++) {
+        for (int number = 0; number < SERVERS; number++) {
             Engine engine = new Engine(store, log, "i-" + number, Site.SERVICE, "z-" + number % 3, 8, 60, 15);
             engine.keepAlive(KEPT_SECONDS);
             engines.add(engine);
